--- a/src/policy.rs
+++ b/src/policy.rs
@@ -48,7 +48,7 @@
 const SILENT: f64 = 5.0; // expected answer times without an answer that make a node silent
 const PREFER: f64 = 1.2; // times the best other wait up to which the build on trial is preferred
 const LEAST_WORK: f64 = 0.2; // of the mean work: no hit counts as less
-const COLD_PUSH: f64 = 0.6; // of the multiple at which a cold node falls: what the marshal allows itself
+const COLD_PUSH: f64 = 0.5; // of the multiple at which a cold node falls: what the marshal allows itself
 const AHEAD: f64 = 4.0; // times its fair part that a warm node of a build on trial gets at most
 const TOUCH: Span = Span::millis(750); // within which each node of the hand is to be met
 const LEAST_HAND: usize = 5;
@@ -297,6 +297,8 @@
     fn open_to(&self, node: &Node, hit: &Hit, on_trial: bool, usual: f64, shed: f64, now: Time) -> bool {
         let ramp = self.ramp(node, now);
         let times = match (ramp < 1.0, on_trial) {
+            // Not again: where all are cold, a failed hit's lot would lead to the same node each time.
+            (true, _) if !hit.forwards.is_empty() => 0.0,
             (true, _) => self.warm_up.multiple * COLD_PUSH * ramp * (1.0 - shed) * usual / hit.work,
             (false, true) => AHEAD,
             (false, false) => return true,
@@ -773,7 +775,6 @@
     /// node? That lifts e as well, and shedding keeps answers in time, so it doesn't show in the shares.
     fn dragging(&mut self) -> bool {
         let gate = &mut self.gate;
-        // Work taken, by the part of the ready nodes that answer.
         let nodes = &self.fleet.nodes;
         let fit = |at: &&usize| !nodes.rows[**at].silent(self.now) && nodes.rows[**at].blame < BLAME;
         let fit = self.fleet.hand.iter().filter(fit).count() as f64 / self.fleet.hand.len().max(1) as f64;
@@ -788,7 +789,6 @@
         }
         let mut paces: Vec<f64> = gate.answers.iter().map(|a| a.1).collect();
         paces.sort_by(f64::total_cmp);
-        // What was shed would have made the rest slower still.
         let pace = paces[paces.len() / QUICKER] / (1.0 - gate.shed).max(FLOOR);
         let mix = gate.answers.iter().filter(|a| Some(a.2) == newest).count() as f64 / met;
         gate.record.course.push_back((mix, pace, load));
@@ -799,6 +799,6 @@
         let like = LIKE_LOAD + 2.0 / (self.fleet.rate * WINDOW.seconds()).max(1.0).sqrt();
         let slow = mix > (before + FLOOR) * MARGIN && pace > was * MARGIN && load < at * like;
         gate.record.slow_looks = if slow { gate.record.slow_looks + 1 } else { 0 };
-        gate.record.slow_looks >= if gate.ballot.needed > VOTERS { SLOW_LOOKS / 2 } else { SLOW_LOOKS }
+        gate.record.slow_looks >= if gate.ballot.needed > VOTERS { SLOW_LOOKS * 3 / 4 } else { SLOW_LOOKS }
     }
 }
--- a/tests/stories.rs
+++ b/tests/stories.rs
@@ -141,6 +141,16 @@
     assert!(s.traffic(30, READ, fine).iter().all(|n| *n == 2));
 }
 
+#[rstest]
+fn failed_hits_do_not_go_again_to_cold_nodes() {
+    // With all nodes cold each failed hit went to the same open node again and again, and pushed it over.
+    let mut s = fleet(0);
+    s.list(&[(0, OLD, Readiness::Ready), (2, OLD, Readiness::Ready)], Some(Span::ZERO));
+    let hits = s.traffic(100, READ, |_| (Fate::Error, 5)).len();
+    assert!((1..=100).contains(&hits), "{hits} forwards of 100 hits");
+    assert!((1..=100).all(|hit| s.went(hit).len() <= 1));
+}
+
 #[rstest]
 fn many_marshals_together_send_a_cold_node_its_ramps_part_of_a_share() {
     // Each of many marshals once had a whole hit of credit: together a burst that pushed the node over.
