--- a/src/policy.rs
+++ b/src/policy.rs
@@ -48,7 +48,7 @@
 const SILENT: f64 = 5.0; // expected answer times without an answer that make a node silent
 const PREFER: f64 = 1.2; // times the best other wait up to which the build on trial is preferred
 const LEAST_WORK: f64 = 0.2; // of the mean work: no hit counts as less
-const COLD_PUSH: f64 = 0.6; // of the multiple at which a cold node falls: what the marshal allows itself
+const COLD_PUSH: f64 = 0.5; // of the multiple at which a cold node falls: what the marshal allows itself
 const AHEAD: f64 = 4.0; // times its fair part that a warm node of a build on trial gets at most
 const TOUCH: Span = Span::millis(750); // within which each node of the hand is to be met
 const LEAST_HAND: usize = 5;
@@ -295,11 +295,11 @@
     /// Rule 4: a hit is open to a cold node by its lot, a point on a circle where the node holds its part, so
     /// many times over. Lots add up alike for any number of marshals; whole credits would make a burst.
     fn open_to(&self, node: &Node, hit: &Hit, on_trial: bool, usual: f64, shed: f64, now: Time) -> bool {
-        let ramp = self.ramp(node, now);
+        let (ramp, surge) = (self.ramp(node, now), (self.rate / self.calm).max(1.0));
         let times = match (ramp < 1.0, on_trial) {
             // Not again: where all are cold, a failed hit's lot would lead to the same node each time.
             (true, _) if !hit.forwards.is_empty() => 0.0,
-            (true, _) => self.warm_up.multiple * COLD_PUSH * ramp * (1.0 - shed) * usual / hit.work,
+            (true, _) => self.warm_up.multiple * COLD_PUSH * ramp * (1.0 - shed) * usual / hit.work / surge,
             (false, true) => AHEAD,
             (false, false) => return true,
         };
@@ -762,7 +762,7 @@
         }
         self.gate.vote(host, now);
         let fleet = &mut self.fleet;
-        fleet.measure((WINDOW * LOOK).seconds(), LEARN);
+        fleet.measure((WINDOW * LOOK).seconds(), LEARN, LEARN * LEARN);
         // Half again more or less traffic calls for another hand.
         let wanted = (fleet.rate * TOUCH.seconds()).max(LEAST_HAND as f64) / fleet.width.max(1) as f64;
         if !(1.0 / MARGIN..MARGIN).contains(&wanted) {
--- a/src/state.rs
+++ b/src/state.rs
@@ -364,13 +364,15 @@
     pub taken: f64,
     pub looks: f64,
     pub rate: f64,
+    /// Hits a second in the long run.
+    pub calm: f64,
 }
 
 impl Fleet {
     pub fn new(listed: Listed, warm_up: WarmUp) -> Self {
         let (nodes, beside, waits, paces) = (Nodes::default(), false, Span::ZERO, Vec::new());
-        let (hand, width, taken, looks, rate) = (Vec::new(), 0, 0.0, 0.0, 0.0);
-        Fleet { listed, warm_up, nodes, beside, waits, paces, hand, width, taken, looks, rate }
+        let (hand, width, taken, looks, rate, calm) = (Vec::new(), 0, 0.0, 0.0, 0.0, 0.0);
+        Fleet { listed, warm_up, nodes, beside, waits, paces, hand, width, taken, looks, rate, calm }
     }
 
     /// Usual pace of a kind; until known, a node needs the expected work.
@@ -380,9 +382,10 @@
         self.paces[kind]
     }
 
-    /// Takes the last span's hits into the usual rate: a plain mean at first, then by `weight`.
-    pub fn measure(&mut self, seconds: f64, weight: f64) {
+    /// Takes the last span's hits into the rates: a plain mean at first, then by `weight`, or by `slow`.
+    pub fn measure(&mut self, seconds: f64, weight: f64, slow: f64) {
         self.looks += 1.0;
+        self.calm += slow.max(1.0 / self.looks) * (self.taken / seconds - self.calm);
         self.rate += weight.max(1.0 / self.looks) * (self.taken / seconds - self.rate);
         self.taken = 0.0;
     }
