--- a/crates/simhost/src/reply.rs
+++ b/crates/simhost/src/reply.rs
@@ -69,10 +69,6 @@
         self.record(1120, &[&build.to_le_bytes(), &[stage, mark]]);
     }
 
-    fn probe(&mut self, node: u64) {
-        self.record(1050, &[&node.to_le_bytes()[..6]]);
-    }
-
     fn watch(&mut self, on: bool) {
         self.record(1100, &[&[u8::from(on)]]);
     }
--- a/crates/simhost/src/site.rs
+++ b/crates/simhost/src/site.rs
@@ -85,7 +85,6 @@
     let rollout = Told(top.need("specifics")?, "specifics.");
     let nothing = Value::Null;
     let prices = Told(top.find("prices").unwrap_or(&nothing), "prices.");
-    let report = Told(top.find("report").unwrap_or(&nothing), "report.");
 
     let mut groups = Vec::new();
     for (at, value) in top.list("classes")?.iter().enumerate() {
@@ -99,9 +98,6 @@
     for value in rollout.list("most_shares")? {
         caps.push(value.as_f64().ok_or_else(|| rollout.wrong("most_shares", "a list of numbers"))?);
     }
-    let columns = report.find("columns").and_then(Value::as_array);
-    let inline = report.find("via").and_then(Value::as_str) == Some("inline");
-    let held = columns.filter(|_| inline).and_then(|c| c.iter().position(|v| v.as_str() == Some("rif")));
 
     let tenancy = Tenancy { shares, over_share: top.number_or_none("over_share_worth")? };
     let handling = Handling {
@@ -116,7 +112,6 @@
         by_group: rollout.word("counts")? == "each_class",
         closed_stages: rollout.number_or_none("closed_stages")? as u8,
         no_return: rollout.flag("no_return")?,
-        beside: rollout.find("layout").and_then(Value::as_str) == Some("parallel"),
         caps,
     };
     let clock = rollout.word("gate_mode")? == "automatic";
@@ -138,7 +133,7 @@
         crossing: prices.number_or_none("cross_zone")?,
         asked: top.word("membership_mode")? == "ask",
         ask_within: rules.span("ask_within_ns")?,
-        held_column: held,
+        beside: rollout.find("layout").and_then(Value::as_str) == Some("parallel"),
     };
     let warm_up = WarmUp {
         from: rules.number("cold_from")?,
--- a/src/host.rs
+++ b/src/host.rs
@@ -10,7 +10,6 @@
     fn error(&mut self, hit: u32);
     fn cancel(&mut self, hit: u32, hop: u8);
     fn vote(&mut self, build: u16, stage: u8, verdict: Verdict);
-    fn probe(&mut self, node: u64);
     fn watch(&mut self, on: bool);
     fn fetch(&mut self);
     fn wake(&mut self, wait: Span, token: u64);
--- a/src/ledger.rs
+++ b/src/ledger.rs
@@ -20,9 +20,7 @@
         self.timed += other.timed;
         self.time += other.time;
     }
-}
 
-impl Count {
     pub fn of(counts: &[Count]) -> Count {
         let mut sum = Count::default();
         counts.iter().for_each(|c| sum.add(*c));
@@ -79,9 +77,8 @@
     /// What came in since `from` of the builds that `of` picks.
     pub fn by_source(&self, from: Time, groups: usize, of: impl Fn(u16) -> bool) -> Sources {
         let mut sources: BTreeMap<usize, Vec<Count>> = BTreeMap::new();
-        for (&(build, group, source), row) in &self.rows {
-            let since = row.iter().rev().take_while(|(start, _)| *start >= from).filter(|_| of(build));
-            for (_, count) in since {
+        for (&(_, group, source), row) in self.rows.iter().filter(|(key, _)| of(key.0)) {
+            for (_, count) in row.iter().rev().take_while(|(start, _)| *start >= from) {
                 let counts = sources.entry(source).or_insert_with(|| vec![Count::default(); groups]);
                 counts[group].add(*count);
             }
--- a/src/policy.rs
+++ b/src/policy.rs
@@ -14,7 +14,7 @@
 //! 5. Wrong answers: running odds on clients' reports.
 //! 6. Drag: slowness in time, of the newest build, or of the whole fleet in step with its traffic.
 
-use crate::ledger::{Count, Sources, by_group, total};
+use crate::ledger::{Count, by_group, total};
 use crate::{host::*, index::lot, state::*, terms::*, time::Span, time::Time};
 use rand::{RngExt, SeedableRng};
 use rand_pcg::Pcg64Mcg;
@@ -119,8 +119,9 @@
 impl Exposure {
     fn bucket(&mut self, build: u16, group: usize) -> &mut f64 {
         let group = if self.trial.by_group { group } else { 0 };
-        let part = |n| lot(self.salt, lot(u64::from(build), n)) as f64 / u64::MAX as f64;
-        self.buckets.entry((build, group)).or_insert(part(group as u64) * self.trial.allowance)
+        let (salt, depth) = (self.salt, self.trial.allowance);
+        let start = || lot(salt, lot(u64::from(build), group as u64)) as f64 / u64::MAX as f64 * depth;
+        self.buckets.entry((build, group)).or_insert_with(start)
     }
 
     fn fill(&mut self, group: usize, cap: impl Fn(u16) -> Option<f64>) {
@@ -149,13 +150,13 @@
         }
     }
 
-    /// Voters have the lowest lots for this build and stage, three for each vote needed; all draw alike.
     fn rank(&self, build: u16, stage: u8) -> usize {
         let draw = |m: usize| lot(u64::from(build) << 8 | u64::from(stage), m as u64);
         let mine = draw(self.ballot.me);
         (0..self.ballot.marshals).filter(|m| draw(*m) < mine).count()
     }
 
+    /// Voters have the lowest lots for a build and stage, three for each vote needed; all draw alike.
     fn voters(&self) -> usize {
         (VOTERS * self.ballot.needed.max(1)).min(self.ballot.marshals.max(1))
     }
@@ -201,28 +202,28 @@
         // more than look sick elsewhere.
         let ill = |n: &&Node| n.build != build && n.blame >= BLAME && !n.silent(now);
         let sick = fleet.ready().filter(ill).count();
-        let spare = |nodes: &Sources| (1 + sick).max(nodes.len().div_ceil(3)).min(nodes.len());
-        let rows =
-            |counts: Vec<Count>, e: &[f64]| counts.into_iter().zip(e.iter().copied()).collect::<Vec<_>>();
-        let fails = |mut nodes: Sources| {
-            nodes.sort_by(|a, b| Count::of(&b.1).bad.total_cmp(&Count::of(&a.1).bad));
-            let kept = 1.0 - spare(&nodes) as f64 / nodes.len().max(1) as f64;
-            let spared = rows(by_group(&nodes[spare(&nodes)..], groups), &self.e);
-            let sure = if self.ballot.needed > VOTERS { kept } else { 1.0 };
-            Self::exceeds(&rows(by_group(&nodes, groups), &self.e), 1.0) && Self::exceeds(&spared, sure)
-        };
-        let own = fails(nodes.clone());
+        let spare = (1 + sick).max(nodes.len().div_ceil(3)).min(nodes.len());
+        let given_up = if self.ballot.needed > VOTERS { spare } else { 0 };
+        let sure = 1.0 - given_up as f64 / nodes.len().max(1) as f64;
+        let rows = |counts: Vec<Count>, e: &[f64]| std::iter::zip(counts, e.to_vec()).collect::<Vec<_>>();
+        let met = rows(by_group(&nodes, groups), &self.e);
+        let mut worst_first = nodes.clone();
+        worst_first.sort_by(|a, b| Count::of(&b.1).bad.total_cmp(&Count::of(&a.1).bad));
+        let spared = rows(by_group(&worst_first[spare..], groups), &self.e);
+        let own = Self::exceeds(&met, 1.0) && Self::exceeds(&spared, sure);
         // With few own outcomes, the platform's sums judge if any own one points the same way.
         let sums = |of: &dyn Fn(u16) -> bool| by_group(&self.sums.by_source(from, groups, of), groups);
-        let e: Vec<f64> = sums(&|b| b < build).iter().map(|c| c.share().max(FLOOR)).collect();
-        let told = n < ENOUGH && Self::exceeds(&rows(sums(&|b| b == build), &e), 1.0);
-        if own || (told && total(&nodes).bad > 0.0) {
-            let shown = by_group(&nodes, groups).into_iter().zip(&self.e);
-            return Some(shown.map(|(c, e)| format!("failing {}/{} at {e:.2} ", c.bad, c.n)).collect());
+        let told = || {
+            let e: Vec<f64> = sums(&|b| b < build).iter().map(|c| c.share().max(FLOOR)).collect();
+            Self::exceeds(&rows(sums(&|b| b == build), &e), 1.0)
+        };
+        if own || (n < ENOUGH && total(&nodes).bad > 0.0 && told()) {
+            let shown: String = met.iter().map(|(c, e)| format!(" {}/{} at {e:.2}", c.bad, c.n)).collect();
+            return Some(format!("failing:{shown}"));
         }
         // A build may be slow within the target latency: half again as long for like work at like load.
         nodes.sort_by(|a, b| Count::of(&b.1).pace().total_cmp(&Count::of(&a.1).pace()));
-        let (quicker, usual) = (total(&nodes[spare(&nodes)..]), all.pace().max(lately.pace()));
+        let (quicker, usual) = (total(&nodes[spare..]), all.pace().max(lately.pace()));
         let like = total(&nodes).n * earlier.len() as f64 <= LIKE_LOAD * all.n * nodes.len() as f64;
         let slow = like && quicker.timed >= ENOUGH / 2.0 && quicker.pace() >= MARGIN * usual;
         slow.then(|| format!("slow: {:.2} over {usual:.2}", quicker.pace()))
@@ -274,10 +275,9 @@
         let width = ((self.rate * TOUCH.seconds()) as usize).max(LEAST_HAND);
         let ranked = self.nodes.ranked(self.listed.me);
         // Where a new build's nodes stand beside the earlier ones, either can carry the whole traffic.
-        let of_build =
-            |build| ranked.iter().filter(|(k, _)| k.0 == build).map(|(_, v)| v.len()).sum::<usize>();
-        let most = ranked.keys().map(|k| of_build(k.0)).max().unwrap_or(0);
-        let places = if self.beside { most } else { ranked.values().map(Vec::len).sum() };
+        let of = |build| ranked.iter().filter(|(k, _)| k.0 == build).map(|(_, v)| v.len()).sum::<usize>();
+        let most = ranked.keys().map(|k| of(k.0)).max().unwrap_or(0);
+        let places = if self.listed.beside { most } else { ranked.values().map(Vec::len).sum() };
         self.hand.clear();
         let mut start = 0.0;
         for of_kind in ranked.values() {
@@ -348,7 +348,7 @@
         Marshal {
             desk: Desk { groups, tenancy, handling, typical, credits, extra: COPY_PRICE, work },
             gate: Gate { ballot, first_cap, e, ..Gate::default() },
-            fleet: Fleet { waits: ASK_AGAIN, beside: trial.beside, ..Fleet::new(listed, warm_up) },
+            fleet: Fleet { listed, warm_up, waits: ASK_AGAIN, ..Fleet::default() },
             exposure: Exposure { trial, salt: seed, ..Exposure::default() },
             hits: Hits::default(),
             waiting: Vec::new(),
--- a/src/state.rs
+++ b/src/state.rs
@@ -348,12 +348,11 @@
 }
 
 /// The nodes as last listed, and what cold ones may be sent.
+#[derive(Default)]
 pub struct Fleet {
     pub listed: Listed,
     pub warm_up: WarmUp,
     pub nodes: Nodes,
-    /// Machines of the earlier build stay until the new one is released.
-    pub beside: bool,
     pub waits: Span,
     /// Usual pace of a node by its kind.
     pub paces: Vec<f64>,
@@ -369,12 +368,6 @@
 }
 
 impl Fleet {
-    pub fn new(listed: Listed, warm_up: WarmUp) -> Self {
-        let (nodes, beside, waits, paces) = (Nodes::default(), false, Span::ZERO, Vec::new());
-        let (hand, width, taken, looks, rate, calm) = (Vec::new(), 0, 0.0, 0.0, 0.0, 0.0);
-        Fleet { listed, warm_up, nodes, beside, waits, paces, hand, width, taken, looks, rate, calm }
-    }
-
     /// Usual pace of a kind; until known, a node needs the expected work.
     pub fn usual(&mut self, kind: u16) -> f64 {
         let kind = usize::from(kind);
--- a/src/terms.rs
+++ b/src/terms.rs
@@ -56,8 +56,6 @@
     pub by_group: bool,
     pub closed_stages: u8,
     pub no_return: bool,
-    /// Machines of the earlier build stay until the new one is released.
-    pub beside: bool,
     /// Most share by stage.
     pub caps: Vec<f64>,
 }
@@ -88,7 +86,7 @@
 }
 
 /// How nodes are told of, and what crossing zones costs.
-#[derive(Clone, Copy, Debug)]
+#[derive(Clone, Copy, Debug, Default)]
 pub struct Listed {
     /// This marshal's number.
     pub me: usize,
@@ -97,12 +95,12 @@
     /// The list answers only when asked.
     pub asked: bool,
     pub ask_within: Span,
-    /// Place of the held hits in a node's load report.
-    pub held_column: Option<usize>,
+    /// Machines of the earlier build stay until the new one is released.
+    pub beside: bool,
 }
 
 /// How a started node warms up, and when it falls over.
-#[derive(Clone, Copy, Debug)]
+#[derive(Clone, Copy, Debug, Default)]
 pub struct WarmUp {
     pub from: f64,
     pub span: Span,
--- a/tests/fake/mod.rs
+++ b/tests/fake/mod.rs
@@ -38,7 +38,6 @@
     fn vote(&mut self, build: u16, stage: u8, verdict: Verdict) {
         self.calls.push(Call::Vote(build, stage, verdict));
     }
-    fn probe(&mut self, _node: u64) {}
     fn watch(&mut self, _on: bool) {
         self.calls.push(Call::Watch);
     }
@@ -90,7 +89,6 @@
             by_group: false,
             closed_stages: 0,
             no_return: false,
-            beside: true,
             caps: vec![0.1, 0.5, 1.0],
         },
         ballot: Ballot {
@@ -110,7 +108,7 @@
             crossing: 0.02,
             asked: false,
             ask_within: SECOND * 10.0,
-            held_column: None,
+            beside: true,
         },
         warm_up: WarmUp { from: 0.3, span: SECOND * 4.0, multiple: 2.0 },
     }
--- a/tests/stories.rs
+++ b/tests/stories.rs
@@ -398,10 +398,8 @@
 
 #[rstest]
 fn who_votes_back_stays_when_a_stage_draws_other_voters() {
-    let mut site = site();
-    (site.ballot.marshals, site.ballot.needed) = (30, 2);
     let voted = |me| {
-        let mut site = Site { groups: site.groups.clone(), tenancy: Tenancy::default(), ..self::site() };
+        let mut site = site();
         (site.ballot.me, site.ballot.marshals, site.ballot.needed) = (me, 30, 2);
         let mut s = trial_of(site, 4);
         let fails = |node| if node >= 100 { (Fate::Error, 5) } else { (Fate::Ok, 60) };
