--- /dev/null
+++ b/crates/formats/src/resp.rs
@@ -0,0 +1,155 @@
+//! RESP2: one message at a time, an array of flat parts or a single part, found where it lies in the
+//! bytes that came. Nothing is copied; what goes on unchanged is taken from those bytes.
+
+use std::ops::Range;
+
+/// Lines that state a kind and a number are short; longer ones are not RESP.
+const HEADER: usize = 24;
+
+/// How much one message may be.
+#[derive(Clone, Copy, Debug)]
+pub struct Bounds {
+    pub parts: usize,
+    pub bulk: usize,
+    pub line: usize,
+    pub whole: usize,
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Kind {
+    Bulk,
+    Null,
+    Simple,
+    Error,
+    Integer,
+}
+
+/// One part: what it is, where all its bytes lie, and where its text does.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Part {
+    pub kind: Kind,
+    pub whole: Range<usize>,
+    pub text: Range<usize>,
+}
+
+/// Finds the message that starts at the first byte, in as many calls as it takes to come.
+#[derive(Debug)]
+pub struct Scanner {
+    bounds: Bounds,
+    at: usize,
+    /// Parts still to come; none before the first line was read.
+    left: Option<usize>,
+    pub array: bool,
+    pub parts: Vec<Part>,
+}
+
+impl Scanner {
+    pub fn new(bounds: Bounds) -> Self {
+        Scanner { bounds, at: 0, left: None, array: false, parts: Vec::new() }
+    }
+
+    /// Makes ready for the next message.
+    pub fn reset(&mut self) {
+        (self.at, self.left, self.array) = (0, None, false);
+        self.parts.clear();
+    }
+
+    /// Nothing of a message has been read yet.
+    pub fn fresh(&self) -> bool {
+        self.at == 0
+    }
+
+    /// The length of the message once it is whole; `bytes` are all that came since its start.
+    pub fn scan(&mut self, bytes: &[u8]) -> Result<Option<usize>, &'static str> {
+        while self.left != Some(0) {
+            if !self.step(bytes)? {
+                return if bytes.len() > self.bounds.whole { Err("message too long") } else { Ok(None) };
+            }
+        }
+        if self.at > self.bounds.whole { Err("message too long") } else { Ok(Some(self.at)) }
+    }
+
+    /// Reads one line, with the bulk string that it heads; false where it is not whole yet.
+    fn step(&mut self, bytes: &[u8]) -> Result<bool, &'static str> {
+        let rest = bytes.get(self.at..).unwrap_or_default();
+        let Some(&sign) = rest.first() else { return Ok(false) };
+        let most = match sign {
+            b'+' | b'-' => self.bounds.line,
+            b'$' | b'*' | b':' => HEADER,
+            _ => return Err("not a RESP type"),
+        };
+        let Some(end) = rest.iter().take(most).position(|b| *b == b'\r') else {
+            return if rest.len() >= most { Err("line too long") } else { Ok(false) };
+        };
+        match rest.get(end + 1) {
+            None => return Ok(false),
+            Some(b'\n') => {}
+            Some(_) => return Err("line not ended by CR LF"),
+        }
+        let (text, after) = (self.at + 1..self.at + end, self.at + end + 2);
+        match sign {
+            b'*' if self.left.is_some() => return Err("nested array"),
+            b'*' => {
+                let count = length(&bytes[text])?.ok_or("null array")?;
+                if count > self.bounds.parts {
+                    return Err("too many parts");
+                }
+                (self.left, self.array, self.at) = (Some(count), true, after);
+                return Ok(true);
+            }
+            b'$' => match length(&bytes[text.clone()])? {
+                None => self.part(Kind::Null, text, after),
+                Some(size) if size > self.bounds.bulk => return Err("bulk string too long"),
+                Some(size) => {
+                    let (text, after) = (after..after + size, after + size + 2);
+                    match bytes.get(text.end..after) {
+                        None => return Ok(false),
+                        Some(b"\r\n") => self.part(Kind::Bulk, text, after),
+                        Some(_) => return Err("bulk string not ended by CR LF"),
+                    }
+                }
+            },
+            b'+' => self.part(Kind::Simple, text, after),
+            b'-' => self.part(Kind::Error, text, after),
+            _ => self.part(Kind::Integer, text, after),
+        }
+        Ok(true)
+    }
+
+    fn part(&mut self, kind: Kind, text: Range<usize>, after: usize) {
+        self.parts.push(Part { kind, whole: self.at..after, text });
+        self.at = after;
+        self.left = Some(self.left.unwrap_or(1).saturating_sub(1));
+    }
+}
+
+/// A stated length; none for -1, which stands for null.
+fn length(text: &[u8]) -> Result<Option<usize>, &'static str> {
+    if text == b"-1" {
+        return Ok(None);
+    }
+    let digits = !text.is_empty() && text.len() <= 9 && text.iter().all(u8::is_ascii_digit);
+    let text = str::from_utf8(text).ok().filter(|_| digits);
+    text.and_then(|t| t.parse().ok()).map(Some).ok_or("length is not a number")
+}
+
+pub fn write_bulk(out: &mut Vec<u8>, text: &[u8]) {
+    out.extend_from_slice(format!("${}\r\n", text.len()).as_bytes());
+    out.extend_from_slice(text);
+    out.extend_from_slice(b"\r\n");
+}
+
+pub fn write_simple(out: &mut Vec<u8>, text: &str) {
+    write_line(out, b'+', text);
+}
+
+pub fn write_error(out: &mut Vec<u8>, text: &str) {
+    write_line(out, b'-', text);
+}
+
+/// Line ends within the text would end the answer early.
+fn write_line(out: &mut Vec<u8>, sign: u8, text: &str) {
+    out.push(sign);
+    out.extend(text.bytes().map(|b| if b.is_ascii_control() { b' ' } else { b }));
+    out.extend_from_slice(b"\r\n");
+}
--- /dev/null
+++ b/crates/marshal/src/core.rs
@@ -0,0 +1,312 @@
+//! The core task: it alone owns the decision module, its timers and the hits' numbers. Socket tasks reach it
+//! through the inbox only; what the module calls for is carried out here.
+
+use crate::clients::{self, Client, Command};
+use crate::clock::Clock;
+use crate::discovery::Discovery;
+use crate::endings::Ending;
+use crate::inbox::{Arrival, Entry, Inbox, News, Outcome, Stage};
+use crate::nodes::{Link, Nodes};
+use crate::platform::Platform;
+use async_io::Timer;
+use futures_lite::future::{or, yield_now};
+use log::{debug, info, warn};
+use std::cmp::Reverse;
+use std::collections::{BinaryHeap, HashMap};
+use std::rc::Rc;
+use stonescale::host::{Fate, Host, Listing, Verdict};
+use stonescale::policy::Marshal;
+use stonescale::time::{Span, Time};
+
+/// How often idle connections are looked at.
+const SWEEP: Span = Span::millis(500);
+/// Arrivals taken in one batch: then news and outcomes have their turn again.
+const BATCH: usize = 64;
+
+/// What comes due. The order is the one in which things due at the same time are seen to.
+#[derive(Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+enum Due {
+    Token(u64),
+    Forward(u32, u8),
+    Sweep,
+}
+
+/// A hit that is not done with: its answer, or the end of a forward, is still to come.
+struct Open {
+    client: Rc<Client>,
+    place: u64,
+    command: Command,
+    answered: bool,
+    /// By number: when it was sent, and the connection until its end was told.
+    forwards: Vec<(Time, Option<Rc<Link>>, bool)>,
+}
+
+/// What the module's calls act on.
+pub struct Doors {
+    clock: Clock,
+    now: Time,
+    due: BinaryHeap<Reverse<(Time, u64, Due)>>,
+    set: u64,
+    hits: HashMap<u32, Open>,
+    last_hit: u32,
+    ids: HashMap<String, usize>,
+    inbox: Rc<Inbox>,
+    nodes: Nodes,
+    discovery: Discovery,
+    platform: Rc<Platform>,
+}
+
+impl Doors {
+    pub fn new(
+        clock: Clock, inbox: Rc<Inbox>, nodes: Nodes, discovery: Discovery, platform: Rc<Platform>,
+    ) -> Self {
+        let (due, hits, ids) = (BinaryHeap::new(), HashMap::new(), HashMap::new());
+        let now = clock.now();
+        Doors { clock, now, due, set: 0, hits, last_hit: 0, ids, inbox, nodes, discovery, platform }
+    }
+
+    fn at(&mut self, time: Time, due: Due) {
+        self.set += 1;
+        self.due.push(Reverse((time, self.set, due)));
+    }
+
+    fn next_due(&self) -> Option<Time> {
+        self.due.peek().map(|Reverse(due)| due.0)
+    }
+
+    /// A node's small number, by its listed id.
+    fn number(&mut self, id: String) -> usize {
+        let next = self.ids.len();
+        *self.ids.entry(id).or_insert(next)
+    }
+
+    /// Answers a hit, once.
+    fn answer(&mut self, hit: u32, answer: impl FnOnce() -> Vec<u8>) {
+        if let Some(open) = self.hits.get_mut(&hit).filter(|open| !open.answered) {
+            open.answered = true;
+            open.client.answer(open.place, answer());
+            self.release(hit);
+        }
+    }
+
+    /// Forgets a hit that is answered, with the ends of all its forwards told.
+    fn release(&mut self, hit: u32) {
+        if self.hits.get(&hit).is_some_and(|open| open.answered && open.forwards.iter().all(|f| f.2)) {
+            self.hits.remove(&hit);
+        }
+    }
+
+    fn give_up(&self, hit: u32, hop: u8, ending: Ending) {
+        let forward = self.hits.get(&hit).and_then(|open| open.forwards.get(usize::from(hop)));
+        if let Some((_, Some(link), false)) = forward {
+            self.nodes.give_up(link, hit, hop, ending);
+        }
+    }
+}
+
+impl Host for Doors {
+    fn forward(&mut self, hit: u32, node: u64, timeout: Span) {
+        let Some(open) = self.hits.get_mut(&hit) else { return };
+        let hop = open.forwards.len() as u8;
+        let link = match open.answered {
+            true => Err(Ending::NoSuchNode),
+            false => self.nodes.forward(node as usize, hit, hop, &open.command, timeout),
+        };
+        match link {
+            Ok(link) => {
+                open.forwards.push((self.now, Some(link), false));
+                self.at(self.now + timeout, Due::Forward(hit, hop));
+            }
+            Err(ending) => {
+                open.forwards.push((self.now, None, false));
+                debug!("a forward could not be sent: {ending:?}");
+                self.inbox.ended(hit, hop, ending, false);
+            }
+        }
+    }
+
+    fn bounce(&mut self, hit: u32, retry_in: Span) {
+        self.answer(hit, || clients::bounced(retry_in));
+    }
+
+    fn error(&mut self, hit: u32) {
+        self.answer(hit, clients::errored);
+    }
+
+    fn cancel(&mut self, hit: u32, hop: u8) {
+        self.give_up(hit, hop, Ending::CalledOff);
+    }
+
+    fn vote(&mut self, build: u16, stage: u8, verdict: Verdict) {
+        debug!("vote on build {build}, stage {stage}: {verdict:?}");
+        self.platform.vote(build, stage, verdict);
+    }
+
+    fn watch(&mut self, on: bool) {
+        self.discovery.watch(on);
+    }
+
+    fn fetch(&mut self) {
+        self.discovery.fetch();
+    }
+
+    fn wake(&mut self, wait: Span, token: u64) {
+        self.at(self.now + wait, Due::Token(token));
+    }
+
+    fn log(&mut self, text: &str) {
+        info!("{text}");
+    }
+}
+
+pub struct Core {
+    marshal: Marshal,
+    doors: Doors,
+}
+
+impl Core {
+    pub fn new(marshal: Marshal, mut doors: Doors) -> Self {
+        doors.at(doors.now, Due::Sweep);
+        Core { marshal, doors }
+    }
+
+    /// Runs until the process ends.
+    pub async fn run(mut self) {
+        let inbox = self.doors.inbox.clone();
+        loop {
+            if inbox.is_empty() {
+                let due = self.doors.next_due().map(|at| self.doors.clock.instant(at));
+                let due = async {
+                    match due {
+                        Some(at) => drop(Timer::at(at).await),
+                        None => std::future::pending().await,
+                    }
+                };
+                or(inbox.signal.wait(), due).await;
+            } else {
+                // Let the socket tasks bring what has come meanwhile.
+                yield_now().await;
+            }
+            self.batch(&inbox);
+        }
+    }
+
+    /// News first, so that drains and caps bind at once; then answers, then what is due, then new hits.
+    fn batch(&mut self, inbox: &Inbox) {
+        while let Some(news) = self.tick(&inbox.news) {
+            self.news(news);
+        }
+        while let Some(outcome) = self.tick(&inbox.outcomes) {
+            match outcome {
+                Outcome::Ended { hit, hop, ending, sent, value } => self.ended(hit, hop, ending, sent, value),
+                Outcome::Left(hits) => hits.into_iter().for_each(|hit| self.left(hit)),
+            }
+        }
+        let now = self.doors.clock.now();
+        self.doors.now = now;
+        while self.doors.next_due().is_some_and(|at| at <= now) {
+            let Some(Reverse((_, _, due))) = self.doors.due.pop() else { break };
+            match due {
+                Due::Token(token) => self.marshal.woken(&mut self.doors, now, token),
+                Due::Forward(hit, hop) => self.doors.give_up(hit, hop, Ending::WaitedOut),
+                Due::Sweep => {
+                    self.doors.nodes.sweep();
+                    debug!(
+                        "{} hits open, {} taken so far, {} node connections",
+                        self.doors.hits.len(),
+                        self.doors.last_hit,
+                        self.doors.nodes.open()
+                    );
+                    self.doors.at(now + SWEEP, Due::Sweep);
+                }
+            }
+        }
+        for _ in 0..BATCH {
+            let Some(arrival) = self.tick(&inbox.arrivals) else { break };
+            self.arrived(arrival);
+        }
+    }
+
+    /// The next of a lane, with the clock read.
+    fn tick<T>(&mut self, lane: &std::cell::RefCell<std::collections::VecDeque<T>>) -> Option<T> {
+        let next = lane.borrow_mut().pop_front()?;
+        self.doors.now = self.doors.clock.now();
+        Some(next)
+    }
+
+    fn news(&mut self, news: News) {
+        let now = self.doors.now;
+        match news {
+            News::Listed(how, entries) => self.listed(how, entries),
+            News::ListFailed => self.marshal.told_list_failed(&mut self.doors, now),
+            News::Stage(stage, vote) => self.staged(stage, vote),
+            News::Flagged { node, group, age } => match self.doors.ids.get(&node) {
+                Some(&at) => self.marshal.flagged(now, at as u64, group, age),
+                None => warn!("a complaint about an unknown node is skipped"),
+            },
+        }
+    }
+
+    pub fn listed(&mut self, how: Listing, entries: Vec<Entry>) {
+        debug!("list: {how:?}, {} entries", entries.len());
+        let now = self.doors.now;
+        let mut named = Vec::new();
+        self.marshal.told_list_opens(now, how);
+        for (id, addr, place, readiness, build, started) in entries {
+            let at = self.doors.number(id);
+            named.push(at);
+            self.doors.nodes.listed(at, addr, readiness, started);
+            self.marshal.told_list_entry(at as u64, place, readiness, build, started);
+        }
+        if how != Listing::Delta {
+            self.doors.nodes.keep_only(&named);
+        }
+        self.marshal.told_list_closes(&mut self.doors);
+    }
+
+    pub fn staged(&mut self, (build, stage, standing, cap, age): Stage, vote: Option<Fate>) {
+        debug!("platform: build {build}, stage {stage}, {standing:?}, cap {cap}, vote {vote:?}");
+        let now = self.doors.now;
+        self.marshal.told_stage(&mut self.doors, now, (build, stage), standing, cap, age, vote);
+    }
+
+    fn arrived(&mut self, Arrival { client, place, command, came }: Arrival) {
+        if client.gone() {
+            return;
+        }
+        let now = self.doors.now;
+        self.doors.last_hit = self.doors.last_hit.wrapping_add(1);
+        let hit = self.doors.last_hit;
+        client.bind(place, hit);
+        let (group, tenant, key) = (command.group, command.tenant, command.key);
+        // The client's wait runs since it sent the hit, not since the hit left this program's queues.
+        let patience = command.patience - (now - came);
+        let forwards = Vec::new();
+        self.doors.hits.insert(hit, Open { client, place, command, answered: false, forwards });
+        self.marshal.taken(&mut self.doors, now, hit, (group, tenant), key, patience, None);
+    }
+
+    fn ended(&mut self, hit: u32, hop: u8, ending: Ending, sent: bool, value: Vec<u8>) {
+        let now = self.doors.now;
+        let Some(open) = self.doors.hits.get_mut(&hit) else { return };
+        let Some(forward) = open.forwards.get_mut(usize::from(hop)).filter(|f| !f.2) else { return };
+        (forward.1, forward.2) = (None, true);
+        let (fate, latency) = (ending.fate(sent), now - forward.0);
+        if fate == Fate::Ok && !open.answered {
+            open.answered = true;
+            open.client.answer(open.place, value);
+        }
+        let last = open.answered;
+        self.marshal.completed(&mut self.doors, now, (hit, hop), fate, last, latency);
+        self.doors.release(hit);
+    }
+
+    fn left(&mut self, hit: u32) {
+        let now = self.doors.now;
+        if let Some(open) = self.doors.hits.get_mut(&hit) {
+            open.answered = true;
+            self.marshal.client_left(&mut self.doors, now, hit);
+            self.doors.release(hit);
+        }
+    }
+}
--- /dev/null
+++ b/crates/marshal/src/inbox.rs
@@ -0,0 +1,85 @@
+//! The queue through which socket tasks reach the core task, drained in batches. It has three lanes, since
+//! news of drains and caps must not wait behind a long row of hits.
+
+use crate::clients::{Client, Command};
+use crate::endings::Ending;
+use crate::turn::Signal;
+use std::cell::RefCell;
+use std::collections::VecDeque;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use stonescale::host::{Fate, Listing, Place, Readiness, Standing};
+use stonescale::time::{Span, Time};
+
+/// An entry of the node list: id, address, place, readiness, build and listed start.
+pub type Entry = (String, SocketAddr, Place, Readiness, u16, Time);
+
+/// Build, stage, standing, cap, and for how long it has stood so.
+pub type Stage = (u16, u8, Standing, f64, Span);
+
+pub enum News {
+    Listed(Listing, Vec<Entry>),
+    ListFailed,
+    /// Where the newest build stands; as the answer to a vote, how that ended.
+    Stage(Stage, Option<Fate>),
+    Flagged {
+        node: String,
+        group: usize,
+        age: Span,
+    },
+}
+
+pub enum Outcome {
+    Ended {
+        hit: u32,
+        hop: u8,
+        ending: Ending,
+        sent: bool,
+        value: Vec<u8>,
+    },
+    /// A client is gone, with these hits unanswered.
+    Left(Vec<u32>),
+}
+
+/// A hit that a client sent: where its answer goes, what it is, and when it came.
+pub struct Arrival {
+    pub client: Rc<Client>,
+    pub place: u64,
+    pub command: Command,
+    pub came: Time,
+}
+
+#[derive(Default)]
+pub struct Inbox {
+    pub news: RefCell<VecDeque<News>>,
+    pub outcomes: RefCell<VecDeque<Outcome>>,
+    pub arrivals: RefCell<VecDeque<Arrival>>,
+    pub signal: Signal,
+}
+
+impl Inbox {
+    pub fn news(&self, news: News) {
+        self.news.borrow_mut().push_back(news);
+        self.signal.raise();
+    }
+
+    pub fn outcome(&self, outcome: Outcome) {
+        self.outcomes.borrow_mut().push_back(outcome);
+        self.signal.raise();
+    }
+
+    pub fn ended(&self, hit: u32, hop: u8, ending: Ending, sent: bool) {
+        self.outcome(Outcome::Ended { hit, hop, ending, sent, value: Vec::new() });
+    }
+
+    pub fn arrival(&self, arrival: Arrival) {
+        self.arrivals.borrow_mut().push_back(arrival);
+        self.signal.raise();
+    }
+
+    pub fn is_empty(&self) -> bool {
+        self.news.borrow().is_empty()
+            && self.outcomes.borrow().is_empty()
+            && self.arrivals.borrow().is_empty()
+    }
+}
--- /dev/null
+++ b/crates/marshal/src/nodes.rs
@@ -0,0 +1,382 @@
+//! Nodes: connections to them, and the forwards that these carry. A connection carries one forward where
+//! another connection is to be had, since answers on a connection come in order; several where not.
+
+use crate::clients::{Command, VALUE};
+use crate::clock::{Clock, duration};
+use crate::endings::Ending;
+use crate::inbox::{Inbox, Outcome};
+use crate::turn::{Signal, Turn, connect, read_some, turn};
+use async_executor::LocalExecutor;
+use async_io::Async;
+use log::{debug, info, warn};
+use std::cell::{Cell, RefCell};
+use std::collections::VecDeque;
+use std::io::{ErrorKind, Write};
+use std::net::{SocketAddr, TcpStream};
+use std::rc::Rc;
+use stonescale::host::Readiness;
+use stonescale::time::{Span, Time};
+use stonescale_formats::resp::{Bounds, Kind, Scanner};
+
+const BOUNDS: Bounds = Bounds { parts: 8, bulk: VALUE, line: 1024, whole: VALUE + 4 * 1024 };
+/// Of the time in which a node closes an idle connection: by then the marshal has closed it itself.
+const RETIRE: f64 = 0.6;
+
+struct Flight {
+    hit: u32,
+    hop: u8,
+    /// Bytes written on the connection once this forward's last one is.
+    whole_at: u64,
+    /// Its end has been told; its answer, should one come, is read past.
+    told: bool,
+}
+
+/// One connection to a node.
+pub struct Link {
+    opened: Time,
+    /// Until the connection is over: the descriptor must not wait for all that still know the link.
+    stream: RefCell<Option<Rc<Async<TcpStream>>>>,
+    flights: RefCell<VecDeque<Flight>>,
+    out: RefCell<VecDeque<u8>>,
+    queued: Cell<u64>,
+    written: Cell<u64>,
+    /// It takes no further forwards.
+    retired: Cell<bool>,
+    /// How it is to end, once that is asked for.
+    end: Cell<Option<Ending>>,
+    used: Cell<Time>,
+    signal: Signal,
+}
+
+impl Link {
+    fn idle(&self) -> bool {
+        self.flights.borrow().is_empty()
+    }
+
+    fn finish(&self, ending: Ending) {
+        self.retired.set(true);
+        if self.end.get().is_none() {
+            self.end.set(Some(ending));
+        }
+        self.signal.raise();
+    }
+
+    /// Nothing has come on it that nobody waits for, and the node has not ended it.
+    fn sound(&self) -> bool {
+        let stream = self.stream.borrow();
+        let Some(stream) = stream.as_ref() else { return true };
+        matches!(stream.get_ref().peek(&mut [0]), Err(e) if e.kind() == ErrorKind::WouldBlock)
+    }
+
+    fn queue(&self, hit: u32, hop: u8, command: &Command, wait: Span) {
+        let mut out = self.out.borrow_mut();
+        let before = out.len();
+        command.write(&mut out, wait);
+        self.queued.set(self.queued.get() + (out.len() - before) as u64);
+        let whole_at = self.queued.get();
+        self.flights.borrow_mut().push_back(Flight { hit, hop, whole_at, told: false });
+    }
+
+    /// Writes what can be written now.
+    fn flush(&self) -> Result<(), Ending> {
+        let stream = self.stream.borrow();
+        let Some(stream) = stream.as_ref() else { return Ok(()) };
+        let mut out = self.out.borrow_mut();
+        while !out.is_empty() {
+            match stream.get_ref().write(out.as_slices().0) {
+                Ok(n) => {
+                    out.drain(..n);
+                    self.written.set(self.written.get() + n as u64);
+                }
+                Err(e) if e.kind() == ErrorKind::WouldBlock => return Ok(()),
+                Err(e) if e.kind() == ErrorKind::Interrupted => {}
+                Err(_) => return Err(Ending::Broken),
+            }
+        }
+        if out.capacity() > VALUE {
+            out.shrink_to(0);
+        }
+        Ok(())
+    }
+}
+
+struct Stand {
+    addr: SocketAddr,
+    links: Vec<Rc<Link>>,
+}
+
+pub struct Nodes {
+    stands: Vec<Option<Stand>>,
+    inbox: Rc<Inbox>,
+    tasks: Rc<LocalExecutor<'static>>,
+    clock: Clock,
+    up_within: Span,
+    idle: Span,
+    multiplex: usize,
+    most: usize,
+    open: Rc<Cell<usize>>,
+    scratch: Rc<RefCell<Vec<u8>>>,
+}
+
+impl Nodes {
+    pub fn new(
+        inbox: Rc<Inbox>, tasks: Rc<LocalExecutor<'static>>, clock: Clock,
+        (up_within, idle, multiplex): (Span, Span, usize), most: usize,
+    ) -> Self {
+        let scratch = Rc::new(RefCell::new(vec![0; VALUE]));
+        let (stands, open) = (Vec::new(), Rc::default());
+        Nodes { stands, inbox, tasks, clock, up_within, idle, multiplex, most, open, scratch }
+    }
+
+    pub fn open(&self) -> usize {
+        self.open.get()
+    }
+
+    /// Takes an entry of the list: what it says of a node ends connections that lead elsewhere now.
+    pub fn listed(&mut self, node: usize, addr: SocketAddr, readiness: Readiness, started: Time) {
+        if self.stands.len() <= node {
+            self.stands.resize_with(node + 1, || None);
+        }
+        let links = self.stands[node].take().map_or(Vec::new(), |was| {
+            if was.addr != addr {
+                was.links.iter().for_each(|l| Self::leave(l, Ending::Withdrawn));
+                Vec::new()
+            } else {
+                was.links
+            }
+        });
+        for link in &links {
+            if readiness != Readiness::Ready {
+                Self::leave(link, Ending::Withdrawn);
+            } else if link.opened < started {
+                // The process that it leads to is gone, even if its machine said nothing.
+                link.finish(Ending::Restarted);
+            }
+        }
+        self.stands[node] = Some(Stand { addr, links });
+    }
+
+    /// Lets what was written be answered; nothing else goes out on it.
+    fn leave(link: &Link, ending: Ending) {
+        link.retired.set(true);
+        if link.written.get() == 0 || link.idle() {
+            link.finish(ending);
+        }
+    }
+
+    /// A full list that left these nodes out: they are gone.
+    pub fn keep_only(&mut self, named: &[usize]) {
+        for (at, stand) in self.stands.iter_mut().enumerate() {
+            if let Some(stand) = stand.as_mut().filter(|_| !named.contains(&at)) {
+                stand.links.iter().for_each(|l| Self::leave(l, Ending::Withdrawn));
+            }
+        }
+    }
+
+    /// Sends a hit's command to a node, stating `wait`.
+    pub fn forward(
+        &mut self, node: usize, hit: u32, hop: u8, command: &Command, wait: Span,
+    ) -> Result<Rc<Link>, Ending> {
+        let now = self.clock.now();
+        let stand = self.stands.get_mut(node).and_then(Option::as_mut).ok_or(Ending::NoSuchNode)?;
+        stand.links.retain(|l| !l.retired.get());
+        // The one used last is the least likely to be closed by the node at this moment.
+        while let Some(link) =
+            stand.links.iter().filter(|l| l.idle() && !l.retired.get()).max_by_key(|l| l.used.get())
+        {
+            let link = link.clone();
+            if link.sound() {
+                link.used.set(now);
+                link.queue(hit, hop, command, wait);
+                if let Err(ending) = link.flush() {
+                    link.finish(ending);
+                } else if !link.out.borrow().is_empty() {
+                    link.signal.raise();
+                }
+                return Ok(link);
+            }
+            link.finish(Ending::Closed);
+        }
+        if self.open.get() >= self.most {
+            let shared = stand.links.iter().filter(|l| !l.retired.get());
+            let shared = shared.filter(|l| l.flights.borrow().len() < self.multiplex);
+            let link = shared.min_by_key(|l| l.flights.borrow().len()).ok_or(Ending::NoSocket)?;
+            link.queue(hit, hop, command, wait);
+            link.signal.raise();
+            return Ok(link.clone());
+        }
+        let link = Rc::new(Link {
+            opened: now,
+            stream: RefCell::default(),
+            flights: RefCell::default(),
+            out: RefCell::default(),
+            queued: Cell::new(0),
+            written: Cell::new(0),
+            retired: Cell::new(false),
+            end: Cell::new(None),
+            used: Cell::new(now),
+            signal: Signal::default(),
+        });
+        link.queue(hit, hop, command, wait);
+        stand.links.push(link.clone());
+        self.open.set(self.open.get() + 1);
+        let carrier = Carrier {
+            link: link.clone(),
+            inbox: self.inbox.clone(),
+            clock: self.clock,
+            open: self.open.clone(),
+            scratch: self.scratch.clone(),
+        };
+        self.tasks.spawn(carrier.run(stand.addr, self.up_within)).detach();
+        Ok(link)
+    }
+
+    /// Stops waiting for a forward. Its connection is closed, unless others' forwards are on it too.
+    pub fn give_up(&self, link: &Link, hit: u32, hop: u8, ending: Ending) {
+        let mut flights = link.flights.borrow_mut();
+        let Some(flight) = flights.iter_mut().find(|f| (f.hit, f.hop) == (hit, hop) && !f.told) else {
+            return;
+        };
+        flight.told = true;
+        let sent = link.written.get() >= flight.whole_at;
+        let alone = flights.iter().all(|f| f.told);
+        drop(flights);
+        link.retired.set(true);
+        if alone {
+            link.finish(ending);
+        }
+        self.inbox.ended(hit, hop, ending, sent);
+    }
+
+    /// Closes what has stood idle for long; the node would, and a hit might be lost on the way.
+    pub fn sweep(&mut self) {
+        let now = self.clock.now();
+        for stand in self.stands.iter_mut().flatten() {
+            stand.links.retain(|l| !l.retired.get());
+            for link in stand.links.iter().filter(|l| l.idle() && now - l.used.get() >= self.idle * RETIRE) {
+                link.finish(Ending::Idle);
+            }
+        }
+    }
+}
+
+/// The task of one connection.
+struct Carrier {
+    link: Rc<Link>,
+    inbox: Rc<Inbox>,
+    clock: Clock,
+    open: Rc<Cell<usize>>,
+    scratch: Rc<RefCell<Vec<u8>>>,
+}
+
+impl Carrier {
+    async fn run(self, addr: SocketAddr, up_within: Span) {
+        let ending = match self.come_up(addr, up_within).await {
+            Ok(()) => self.carry().await,
+            Err(ending) => ending,
+        };
+        self.link.finish(ending);
+        self.link.stream.take();
+        self.open.set(self.open.get() - 1);
+        let flights = std::mem::take(&mut *self.link.flights.borrow_mut());
+        if !flights.is_empty() {
+            debug!("connection to {addr} ended with {} forwards: {ending:?}", flights.len());
+        }
+        for flight in flights.into_iter().filter(|f| !f.told) {
+            let sent = self.link.written.get() >= flight.whole_at;
+            self.inbox.ended(flight.hit, flight.hop, ending, sent);
+        }
+    }
+
+    async fn come_up(&self, addr: SocketAddr, up_within: Span) -> Result<(), Ending> {
+        let asked = async {
+            loop {
+                self.link.signal.wait().await;
+                if let Some(ending) = self.link.end.get() {
+                    return Err(ending);
+                }
+            }
+        };
+        let up = async {
+            let stream = connect(addr, duration(up_within)).await;
+            stream.map_err(|e| {
+                info!("connection to {addr} did not come up: {e}");
+                Ending::of_connect(&e)
+            })
+        };
+        let stream = futures_lite::future::or(asked, up).await?;
+        *self.link.stream.borrow_mut() = Some(Rc::new(stream));
+        Ok(())
+    }
+
+    async fn carry(&self) -> Ending {
+        let link = &self.link;
+        let Some(stream) = link.stream.borrow().clone() else { return Ending::Broken };
+        let mut held = Vec::new();
+        let mut scanner = Scanner::new(BOUNDS);
+        loop {
+            if let Some(ending) = link.end.get() {
+                return ending;
+            }
+            if let Err(ending) = link.flush() {
+                return ending;
+            }
+            let write = !link.out.borrow().is_empty();
+            if turn(&stream, true, write, &link.signal, None).await != Turn::Readable {
+                continue;
+            }
+            {
+                let mut scratch = self.scratch.borrow_mut();
+                match read_some(&stream, &mut scratch) {
+                    Ok(Some([])) => return Ending::Closed,
+                    Ok(Some(bytes)) => held.extend_from_slice(bytes),
+                    Ok(None) => continue,
+                    Err(_) => return Ending::Broken,
+                }
+            }
+            if let Err(why) = self.take_answers(&mut scanner, &mut held) {
+                warn!("a node's answer was no answer: {why}");
+                return Ending::Garbled;
+            }
+            if link.retired.get() && link.idle() {
+                return Ending::Idle;
+            }
+        }
+    }
+
+    fn take_answers(&self, scanner: &mut Scanner, held: &mut Vec<u8>) -> Result<(), &'static str> {
+        let mut start = 0;
+        while start < held.len() {
+            let bytes = &held[start..];
+            let Some(length) = scanner.scan(bytes)? else { break };
+            let first = scanner.parts.first().ok_or("empty array")?;
+            let ending = match (scanner.array, first.kind) {
+                // Load report and null that may follow are read past.
+                (true, Kind::Bulk) => Ending::Served,
+                (false, Kind::Error) if bytes[first.text.clone()].starts_with(b"BUSY") => Ending::SaidBusy,
+                (false, Kind::Error) => Ending::SaidFailed,
+                _ => return Err("neither a value nor an error"),
+            };
+            let value =
+                if ending == Ending::Served { bytes[first.whole.clone()].to_vec() } else { Vec::new() };
+            if ending == Ending::SaidFailed && bytes[first.text.clone()].starts_with(b"SYNTAX") {
+                warn!("a node found a forward malformed");
+            }
+            let mut flights = self.link.flights.borrow_mut();
+            let written = self.link.written.get();
+            let flight = flights.pop_front_if(|f| f.whole_at <= written).ok_or("no forward was out")?;
+            if !flight.told {
+                let (hit, hop, sent) = (flight.hit, flight.hop, true);
+                self.inbox.outcome(Outcome::Ended { hit, hop, ending, sent, value });
+            }
+            self.link.used.set(self.clock.now());
+            scanner.reset();
+            start += length;
+        }
+        held.drain(..start);
+        if held.is_empty() {
+            held.shrink_to(4 * 1024);
+        }
+        Ok(())
+    }
+}
--- /dev/null
+++ b/crates/marshal/src/serve.rs
@@ -0,0 +1,119 @@
+//! One marshal from its start to its end: parts are made and joined here.
+
+use crate::clients::Clients;
+use crate::clock::Clock;
+use crate::core::{Core, Doors};
+use crate::discovery::{Discovery, Places};
+use crate::inbox::Inbox;
+use crate::nodes::Nodes;
+use crate::platform::{self, Platform};
+use crate::startup;
+use async_executor::LocalExecutor;
+use async_io::{Async, Timer};
+use async_signal::{Signal, Signals};
+use futures_lite::StreamExt;
+use futures_lite::future::or;
+use log::info;
+use serde_json::Value;
+use std::net::TcpListener;
+use std::rc::Rc;
+use std::time::Duration;
+use stonescale::host::{Host, Listing};
+
+/// After SIGTERM new connections come for 0.4 s at most, by the protocol page; for so long all goes on.
+const STILL_COMING: Duration = Duration::from_millis(550);
+/// How often the way out looks whether all clients have left.
+const LOOK: Duration = Duration::from_millis(10);
+
+/// Checks a configuration as far as that goes without sockets.
+pub fn check(root: &Value) -> Result<String, String> {
+    let (name, listen, discovery) = startup::identity(root)?;
+    startup::seed(root)?;
+    let (clients, links, held) = startup::limits(root)?;
+    let (platform, news) = startup::platform(root)?;
+    platform::stage(news).map_err(|e| format!("platform.news: {e}"))?;
+    let settings = startup::settings(root)?;
+    let names = stonescale_site::names(settings).map_err(|e| format!("settings.{e}"))?;
+    let known = startup::known(root)?;
+    let (_, _, entries) = Places::of(&names).list(known).map_err(|e| format!("known: {e}"))?;
+    stonescale_site::links(settings).map_err(|e| format!("settings.{e}"))?;
+    stonescale_site::outside(settings).map_err(|e| format!("settings.{e}"))?;
+    stonescale_site::marshal(settings, 0, Clock::start().now(), &mut Nobody)
+        .map_err(|e| format!("settings.{e}"))?;
+    Ok(format!(
+        "{name} at {listen}; discovery {discovery}, platform {platform}; {} path groups, {} nodes known; \
+         at most {clients} client and {links} node connections, {} MiB for hits in work",
+        names.groups.len(),
+        entries.len(),
+        held >> 20,
+    ))
+}
+
+/// Serves until SIGTERM, then until all that was taken is answered.
+pub fn serve(root: &Value) -> Result<(), String> {
+    info!("{}", check(root)?);
+    let (_, listen, discovery) = startup::identity(root)?;
+    let (most_clients, most_links, held) = startup::limits(root)?;
+    let (platform, news) = startup::platform(root)?;
+    let (settings, seed) = (startup::settings(root)?, startup::seed(root)?);
+    let names = stonescale_site::names(settings)?;
+    let (asked, call_timeout) = stonescale_site::outside(settings)?;
+    let places = Rc::new(Places::of(&names));
+    let (version, _, entries) = places.list(startup::known(root)?)?;
+
+    let listener = Async::<TcpListener>::bind(listen).map_err(|e| format!("listen: {listen}: {e}"))?;
+    let mut signals = Signals::new([Signal::Term, Signal::Int]).map_err(|e| format!("signals: {e}"))?;
+    let (clock, inbox) = (Clock::start(), Rc::new(Inbox::default()));
+    let tasks = Rc::new(LocalExecutor::new());
+    let nodes =
+        Nodes::new(inbox.clone(), tasks.clone(), clock, stonescale_site::links(settings)?, most_links);
+    let discovery = Discovery::new(discovery, places, inbox.clone(), tasks.clone(), Some(version));
+    let groups = names.groups.iter().map(|g| g.0.clone()).collect();
+    let platform = Platform::new(platform, inbox.clone(), call_timeout, groups);
+    tasks.spawn(platform.clone().run(seed)).detach();
+
+    let mut doors = Doors::new(clock, inbox.clone(), nodes, discovery, platform);
+    let marshal = stonescale_site::marshal(settings, seed, clock.now(), &mut doors)?;
+    if !asked {
+        // Where changes come without being asked for, that is the watch.
+        doors.watch(true);
+    }
+    let mut core = Core::new(marshal, doors);
+    core.staged(platform::stage(news)?, None);
+    core.listed(Listing::Cached, entries);
+    tasks.spawn(core.run()).detach();
+
+    let clients = Clients::new(inbox, clock, names, most_clients, held);
+    let listener = Rc::new(listener);
+    let accepting = tasks.spawn(clients.clone().accept(listener, tasks.clone()));
+    async_io::block_on(tasks.run(async {
+        signals.next().await;
+        info!("told to end: serving on for {STILL_COMING:?}, then until all is answered");
+        Timer::after(STILL_COMING).await;
+        accepting.cancel().await;
+        clients.leave();
+        let left = async {
+            while clients.count() > 0 {
+                Timer::after(LOOK).await;
+            }
+        };
+        or(left, async { drop(signals.next().await) }).await;
+        info!("ended, {} client connections left", clients.count());
+    }));
+    Ok(())
+}
+
+/// A host for a marshal that is made only to see whether its settings can be read.
+struct Nobody;
+
+impl Host for Nobody {
+    fn forward(&mut self, _: u32, _: u64, _: stonescale::time::Span) {}
+    fn bounce(&mut self, _: u32, _: stonescale::time::Span) {}
+    fn error(&mut self, _: u32) {}
+    fn cancel(&mut self, _: u32, _: u8) {}
+    fn vote(&mut self, _: u16, _: u8, _: stonescale::host::Verdict) {}
+    fn watch(&mut self, _: bool) {}
+    fn fetch(&mut self) {}
+    fn wake(&mut self, _: stonescale::time::Span, _: u64) {}
+    fn log(&mut self, _: &str) {}
+}
--- /dev/null
+++ b/crates/marshal/src/startup.rs
@@ -0,0 +1,83 @@
+//! Start-up: the one place where configuration is read, checked and defaulted. Messages name the key.
+
+use serde_json::Value;
+use std::net::SocketAddr;
+use std::path::PathBuf;
+use stonescale_site::Told;
+
+/// Descriptors kept free for discovery, the platform, the log, and what the process itself needs.
+const RESERVED: usize = 64;
+/// Part of the other descriptors that is for clients. Each hit takes up one of theirs, but node connections
+/// can carry several forwards.
+const CLIENTS: f64 = 0.64;
+/// Part of the memory limit that hits in work may hold.
+const HELD: usize = 2;
+
+/// The environment, read here and nowhere else. It is stronger than the file.
+fn variable(name: &str) -> Option<String> {
+    std::env::var(name).ok().filter(|v| !v.is_empty())
+}
+
+/// The configuration file, by the command line or else by the environment.
+pub fn read(file: Option<PathBuf>) -> Result<Value, String> {
+    let path = file.or_else(|| variable("NODE_CONFIG").map(PathBuf::from));
+    let path = path.ok_or("NODE_CONFIG is not set, and no --config was given")?;
+    let text = std::fs::read(&path).map_err(|e| format!("NODE_CONFIG: {}: {e}", path.display()))?;
+    let root: Value = serde_json::from_slice(&text)
+        .map_err(|e| format!("NODE_CONFIG: {}: not JSON: {e}", path.display()))?;
+    if root.is_object() { Ok(root) } else { Err(format!("NODE_CONFIG: {}: not an object", path.display())) }
+}
+
+fn address(root: &Value, name: &str, key: &str, place: &str) -> Result<SocketAddr, String> {
+    let (shown, text) = match variable(name) {
+        Some(text) => (name.to_owned(), text),
+        None => (format!("{place}{key}"), Told(root, place).word(key)?.to_owned()),
+    };
+    text.parse().map_err(|_| format!("{shown} is not an address and a port: '{text}'"))
+}
+
+/// Name, address to listen on, and address of discovery.
+pub fn identity(root: &Value) -> Result<(String, SocketAddr, SocketAddr), String> {
+    let name = match variable("NODE_NAME") {
+        Some(name) => name,
+        None => Told(root, "").word("name")?.to_owned(),
+    };
+    let listen = address(root, "NODE_LISTEN", "listen", "")?;
+    Ok((name, listen, address(root, "NODE_DISCOVERY", "discovery", "")?))
+}
+
+/// Seed of the random numbers.
+pub fn seed(root: &Value) -> Result<u64, String> {
+    let text = Told(root, "").word("seed")?;
+    u64::from_str_radix(text, 16)
+        .map_err(|_| format!("seed is not a number of up to 16 hex digits: '{text}'"))
+}
+
+/// Most client connections, most node connections, and most bytes that hits in work may hold.
+pub fn limits(root: &Value) -> Result<(usize, usize, usize), String> {
+    let limits = Told(Told(root, "").need("limits")?, "limits.");
+    let (sockets, memory) = (limits.number("sockets")? as usize, limits.number("memory_mb")? as usize);
+    let free = sockets.saturating_sub(RESERVED);
+    if free < 4 {
+        return Err(format!("limits.sockets is too few: {sockets}"));
+    } else if memory < 8 {
+        return Err(format!("limits.memory_mb is too little: {memory}"));
+    }
+    let clients = (free as f64 * CLIENTS) as usize;
+    Ok((clients, free - clients, memory * 1024 * 1024 / HELD))
+}
+
+/// The platform's address, and the state of the newest build.
+pub fn platform(root: &Value) -> Result<(SocketAddr, &Value), String> {
+    let told = Told(Told(root, "").need("platform")?, "platform.");
+    Ok((address(told.0, "", "address", "platform.")?, told.need("news")?))
+}
+
+/// The node list as last held.
+pub fn known(root: &Value) -> Result<&Value, String> {
+    Told(root, "").need("known")
+}
+
+pub fn settings(root: &Value) -> Result<&Value, String> {
+    Told(root, "").need("settings")
+}
--- /dev/null
+++ b/crates/marshal/src/turn.rs
@@ -0,0 +1,101 @@
+//! What a socket task waits for: its socket, a call from the core task, or a time.
+
+use async_io::{Async, Timer};
+use futures_lite::future::{or, pending};
+use std::cell::{Cell, RefCell};
+use std::future::poll_fn;
+use std::io::{self, ErrorKind, Read};
+use std::net::{SocketAddr, TcpStream};
+use std::task::{Poll, Waker};
+use std::time::{Duration, Instant};
+
+/// Raised by one side, waited for by one task on the other.
+#[derive(Default)]
+pub struct Signal {
+    raised: Cell<bool>,
+    waker: RefCell<Option<Waker>>,
+}
+
+impl Signal {
+    pub fn raise(&self) {
+        self.raised.set(true);
+        if let Some(waker) = self.waker.take() {
+            waker.wake();
+        }
+    }
+
+    pub async fn wait(&self) {
+        poll_fn(|cx| {
+            if self.raised.take() {
+                return Poll::Ready(());
+            }
+            *self.waker.borrow_mut() = Some(cx.waker().clone());
+            Poll::Pending
+        })
+        .await
+    }
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Turn {
+    Readable,
+    Writable,
+    Called,
+    Due,
+}
+
+/// Waits for the next thing to do; reading and writing only where wanted.
+pub async fn turn(
+    stream: &Async<TcpStream>, read: bool, write: bool, signal: &Signal, due: Option<Instant>,
+) -> Turn {
+    let readable = async {
+        match read {
+            // An error shows again when the socket is read.
+            true => drop(stream.readable().await),
+            false => pending().await,
+        }
+        Turn::Readable
+    };
+    let writable = async {
+        match write {
+            true => drop(stream.writable().await),
+            false => pending().await,
+        }
+        Turn::Writable
+    };
+    let called = async {
+        signal.wait().await;
+        Turn::Called
+    };
+    let due = async {
+        match due {
+            Some(at) => drop(Timer::at(at).await),
+            None => pending().await,
+        }
+        Turn::Due
+    };
+    or(or(called, readable), or(writable, due)).await
+}
+
+/// Reads what is there into `scratch`; none where nothing is yet, an empty slice at the stream's end.
+pub fn read_some<'a>(stream: &Async<TcpStream>, scratch: &'a mut [u8]) -> io::Result<Option<&'a [u8]>> {
+    loop {
+        match stream.get_ref().read(scratch) {
+            Ok(n) => return Ok(Some(&scratch[..n])),
+            Err(e) if e.kind() == ErrorKind::WouldBlock => return Ok(None),
+            Err(e) if e.kind() == ErrorKind::Interrupted => {}
+            Err(e) => return Err(e),
+        }
+    }
+}
+
+/// Connects within `limit`; an error of kind `TimedOut` where the connection doesn't come up.
+pub async fn connect(addr: SocketAddr, limit: Duration) -> io::Result<Async<TcpStream>> {
+    let late = async {
+        Timer::after(limit).await;
+        Err(ErrorKind::TimedOut.into())
+    };
+    let stream = or(Async::<TcpStream>::connect(addr), late).await?;
+    stream.get_ref().set_nodelay(true)?;
+    Ok(stream)
+}
--- a/crates/simhost/src/main.rs
+++ b/crates/simhost/src/main.rs
@@ -3,7 +3,6 @@
 
 mod frame;
 mod reply;
-mod site;
 
 use frame::{Batch, Fields};
 use reply::Reply;
@@ -13,6 +12,7 @@
 use stonescale::host::{Fate, Listing, Place, Readiness, Standing};
 use stonescale::policy::Marshal;
 use stonescale::time::{Span, Time};
+use stonescale_site as site;
 
 /// Bytes of one entry in a directory.
 const ROW: usize = 28;
--- a/crates/simhost/src/site.rs
+++ b/crates/site/src/lib.rs
@@ -9,43 +9,44 @@
 };
 use stonescale::time::{Span, Time};
 
-struct Told<'a>(&'a Value, &'a str);
+/// An object and where it stands, for messages that name the faulty key.
+pub struct Told<'a>(pub &'a Value, pub &'a str);
 
 impl<'a> Told<'a> {
-    fn find(&self, key: &str) -> Option<&'a Value> {
+    pub fn find(&self, key: &str) -> Option<&'a Value> {
         self.0.get(key).filter(|v| !v.is_null())
     }
 
-    fn need(&self, key: &str) -> Result<&'a Value, String> {
+    pub fn need(&self, key: &str) -> Result<&'a Value, String> {
         self.find(key).ok_or_else(|| format!("{}{key} is missing", self.1))
     }
 
-    fn wrong(&self, key: &str, wanted: &str) -> String {
+    pub fn wrong(&self, key: &str, wanted: &str) -> String {
         format!("{}{key} is not {wanted}", self.1)
     }
 
-    fn number(&self, key: &str) -> Result<f64, String> {
+    pub fn number(&self, key: &str) -> Result<f64, String> {
         self.need(key)?.as_f64().ok_or_else(|| self.wrong(key, "a number"))
     }
 
     /// An optional number; absent means that the site has no such thing.
-    fn number_or_none(&self, key: &str) -> Result<f64, String> {
+    pub fn number_or_none(&self, key: &str) -> Result<f64, String> {
         self.find(key).map_or(Ok(0.0), |v| v.as_f64().ok_or_else(|| self.wrong(key, "a number")))
     }
 
-    fn span(&self, key: &str) -> Result<Span, String> {
+    pub fn span(&self, key: &str) -> Result<Span, String> {
         Ok(Span::nanos(self.number(key)?.max(0.0) as u64))
     }
 
-    fn flag(&self, key: &str) -> Result<bool, String> {
+    pub fn flag(&self, key: &str) -> Result<bool, String> {
         self.find(key).map_or(Ok(false), |v| v.as_bool().ok_or_else(|| self.wrong(key, "true or false")))
     }
 
-    fn word(&self, key: &str) -> Result<&'a str, String> {
+    pub fn word(&self, key: &str) -> Result<&'a str, String> {
         self.need(key)?.as_str().ok_or_else(|| self.wrong(key, "a text"))
     }
 
-    fn list(&self, key: &str) -> Result<&'a [Value], String> {
+    pub fn list(&self, key: &str) -> Result<&'a [Value], String> {
         self.need(key)?.as_array().map(Vec::as_slice).ok_or_else(|| self.wrong(key, "a list"))
     }
 }
@@ -78,8 +79,13 @@
 
 /// Starts a marshal by the settings in `text`.
 pub fn open(text: &[u8], seed: u64, now: Time, host: &mut impl Host) -> Result<Marshal, String> {
-    let root: Value = serde_json::from_slice(text).map_err(|e| format!("not JSON: {e}"))?;
-    let top = Told(&root, "");
+    let root = serde_json::from_slice(text).map_err(|e| format!("not JSON: {e}"))?;
+    marshal(&root, seed, now, host)
+}
+
+/// Starts a marshal by the settings object.
+pub fn marshal(root: &Value, seed: u64, now: Time, host: &mut impl Host) -> Result<Marshal, String> {
+    let top = Told(root, "");
     let rules = Told(top.need("rules")?, "rules.");
     let limits = Told(top.need("limits")?, "limits.");
     let rollout = Told(top.need("specifics")?, "specifics.");
@@ -142,3 +148,52 @@
     };
     Ok(Marshal::new(host, now, seed, (groups, tenancy, handling), trial, ballot, (listed, warm_up)))
 }
+
+/// The names that stand on the wire for the settings' indices.
+pub struct Names {
+    pub groups: Vec<(String, Effect)>,
+    pub tenants: Vec<String>,
+    pub zones: Vec<String>,
+    pub kinds: Vec<String>,
+}
+
+pub fn names(root: &Value) -> Result<Names, String> {
+    let top = Told(root, "");
+    let of = |key: &str, place: &str| -> Result<Vec<String>, String> {
+        top.list(key)?.iter().map(|v| Ok(Told(v, place).word("name")?.to_owned())).collect()
+    };
+    let words = |key: &str| -> Result<Vec<String>, String> {
+        let word = |v: &Value| v.as_str().map(str::to_owned).ok_or_else(|| top.wrong(key, "a list of texts"));
+        top.list(key)?.iter().map(word).collect()
+    };
+    let mut groups = Vec::new();
+    for (name, (at, value)) in
+        of("classes", "classes[].")?.into_iter().zip(top.list("classes")?.iter().enumerate())
+    {
+        groups.push((name, path_group(value, &format!("classes[{at}]."))?.effect));
+    }
+    Ok(Names {
+        groups,
+        tenants: if top.find("realms").is_some() { of("realms", "realms[].")? } else { Vec::new() },
+        zones: words("azs")?,
+        kinds: words("flavors")?,
+    })
+}
+
+/// How connections to nodes are made: how long one may take to come up, how long it may stand idle, and how
+/// many forwards it carries at once.
+pub fn links(root: &Value) -> Result<(Span, Span, usize), String> {
+    let limits = Told(Told(root, "").need("limits")?, "limits.");
+    Ok((
+        limits.span("connect_timeout_ns")?,
+        limits.span("keepalive_ns")?,
+        (limits.number("multiplex")? as usize).max(1),
+    ))
+}
+
+/// Whether the node list answers only when asked, and how long a vote may take.
+pub fn outside(root: &Value) -> Result<(bool, Span), String> {
+    let top = Told(root, "");
+    let asked = top.word("membership_mode")? == "ask";
+    Ok((asked, Told(top.need("specifics")?, "specifics.").span("call_timeout_ns")?))
+}
