--- a/crates/marshal/src/clients.rs
+++ b/crates/marshal/src/clients.rs
@@ -2,9 +2,9 @@
 
 use crate::clock::Clock;
 use crate::inbox::{Arrival, Inbox, Outcome};
+use crate::reactor::{Async, Timer};
 use crate::turn::{Signal, Turn, read_some, turn};
 use async_executor::LocalExecutor;
-use async_io::{Async, Timer};
 use log::{debug, warn};
 use std::cell::{Cell, RefCell};
 use std::collections::VecDeque;
@@ -26,6 +26,8 @@
 const MOST_UNSENT: usize = 2 * VALUE;
 /// How soon a connection that waits for room looks again, and accepting after it was short of descriptors.
 const AGAIN: Duration = Duration::from_millis(10);
+/// Idle connections closed for new ones at one go.
+const AT_ONCE: usize = 16;
 /// Idle connections are not closed for others before that.
 const SPARED: Duration = Duration::from_millis(200);
 /// How long a connection that lost its framing may take to read why.
@@ -204,7 +206,10 @@
         while !out.is_empty() {
             match stream.get_ref().write(out.as_slices().0) {
                 Ok(n) => drop(out.drain(..n)),
-                Err(e) if e.kind() == ErrorKind::WouldBlock => return Ok(()),
+                Err(e) if e.kind() == ErrorKind::WouldBlock => {
+                    stream.filled();
+                    return Ok(());
+                }
                 Err(e) if e.kind() == ErrorKind::Interrupted => {}
                 Err(e) => return Err(e),
             }
@@ -283,12 +288,20 @@
     pub async fn accept(self: Rc<Self>, listener: Rc<Async<TcpListener>>, tasks: Rc<LocalExecutor<'static>>) {
         let mut short = false;
         loop {
-            if self.count.get() >= self.most && !self.close_longest_idle() {
+            if self.count.get() >= self.most {
+                self.close_longest_idle();
                 Timer::after(AGAIN).await;
                 continue;
             }
-            let stream = match listener.accept().await {
-                Ok((stream, _)) => stream,
+            let taken = listener.get_ref().accept();
+            let taken = taken.and_then(|(stream, _)| stream.set_nonblocking(true).map(|()| stream));
+            let stream = match taken.and_then(Async::new) {
+                Ok(stream) => stream,
+                Err(e) if e.kind() == ErrorKind::WouldBlock => {
+                    listener.drained();
+                    listener.readable().await;
+                    continue;
+                }
                 Err(e) => {
                     if !std::mem::replace(&mut short, true) {
                         warn!("taking a connection failed, trying on: {e}");
@@ -320,17 +333,17 @@
         }
     }
 
-    /// Makes room for a new connection; false where none is idle.
-    fn close_longest_idle(&self) -> bool {
+    /// Makes room for new connections.
+    fn close_longest_idle(&self) {
         let open: Vec<_> = self.open.borrow().iter().filter_map(Weak::upgrade).collect();
-        let idle = open.iter().filter(|c| !c.gone() && c.done()).min_by_key(|c| c.used.get());
+        let mut idle: Vec<_> = open.iter().filter(|c| !c.gone() && c.done()).collect();
+        idle.sort_by_key(|c| c.used.get());
         // A client whose fresh connection is closed opens the next one at once, for no gain.
-        let Some(client) = idle.filter(|c| c.used.get().elapsed() >= SPARED && c.idle()) else {
-            return false;
-        };
-        client.gone.set(true);
-        client.signal.raise();
-        true
+        let spared = |c: &&&Rc<Client>| c.used.get().elapsed() >= SPARED && c.idle();
+        for client in idle.iter().take(AT_ONCE).filter(spared) {
+            client.gone.set(true);
+            client.signal.raise();
+        }
     }
 
     async fn serve(self: Rc<Self>, client: Rc<Client>) {
--- a/crates/marshal/src/core.rs
+++ b/crates/marshal/src/core.rs
@@ -2,27 +2,24 @@
 //! through the inbox only; what the module calls for is carried out here.
 
 use crate::clients::{self, Client, Command};
-use crate::clock::{Clock, duration};
+use crate::clock::Clock;
 use crate::discovery::Discovery;
 use crate::endings::Ending;
 use crate::inbox::{Arrival, Entry, Inbox, News, Outcome, Stage};
 use crate::nodes::{Link, Nodes};
 use crate::platform::Platform;
-use async_io::Timer;
+use crate::reactor::Timer;
 use futures_lite::future::{or, yield_now};
 use log::{debug, info, warn};
 use std::cmp::Reverse;
 use std::collections::{BinaryHeap, HashMap};
 use std::rc::Rc;
-use std::time::Instant;
 use stonescale::host::{Fate, Host, Listing, Verdict};
 use stonescale::policy::Marshal;
 use stonescale::time::{Span, Time};
 
 /// How often idle connections are looked at.
 const SWEEP: Span = Span::millis(500);
-/// The settings' tick is rested for only so far: it adds to every answer's time twice.
-const LONGEST_REST: Span = Span::millis(1);
 /// Arrivals taken in one batch: then news and outcomes have their turn again.
 const BATCH: usize = 64;
 
@@ -174,15 +171,14 @@
     }
 
     /// Runs until the process ends.
-    pub async fn run(mut self, tick: Span) {
+    pub async fn run(mut self) {
         let inbox = self.doors.inbox.clone();
-        let tick = duration(tick.min(LONGEST_REST));
         loop {
             if inbox.is_empty() {
                 let due = self.doors.next_due().map(|at| self.doors.clock.instant(at));
                 let due = async {
                     match due {
-                        Some(at) => drop(Timer::at(at).await),
+                        Some(at) => Timer::at(at).await,
                         None => std::future::pending().await,
                     }
                 };
@@ -191,11 +187,7 @@
                 // Let the socket tasks bring what has come meanwhile.
                 yield_now().await;
             }
-            let start = Instant::now();
             self.batch(&inbox);
-            // The whole thread rests until the tick is over: what comes meanwhile is read at one go. Woken for
-            // every message, the marshal and its machine spend half their time on waking.
-            if std::env::var("REST").is_ok() {std::thread::sleep(tick.saturating_sub(start.elapsed()));}
         }
     }
 
--- a/crates/marshal/src/discovery.rs
+++ b/crates/marshal/src/discovery.rs
@@ -2,13 +2,13 @@
 //! every failure is told to it.
 
 use crate::inbox::{Entry, Inbox, News};
+use crate::reactor::Async;
 use crate::turn::{Signal, Turn, connect, read_some, turn};
 use async_executor::{LocalExecutor, Task};
-use async_io::Async;
-use futures_lite::AsyncWriteExt;
 use log::{info, warn};
 use serde_json::Value;
 use std::cell::{Cell, RefCell};
+use std::io::Write;
 use std::net::{SocketAddr, TcpStream};
 use std::rc::Rc;
 use std::time::{Duration, Instant};
@@ -140,7 +140,8 @@
         let stream = connect(self.addr, UP_WITHIN).await.map_err(|e| format!("no connection: {e}"))?;
         let ask =
             format!("GET {} HTTP/1.1\r\nHost: {}\r\nAccept: application/json\r\n\r\n", self.path, self.addr);
-        (&stream).write_all(ask.as_bytes()).await.map_err(|e| format!("not asked: {e}"))?;
+        // A fresh connection takes so few bytes at once.
+        stream.get_ref().write_all(ask.as_bytes()).map_err(|e| format!("not asked: {e}"))?;
         let (mut response, mut lines) = (Response::default(), Lines::new(LINE));
         let (mut scratch, mut body, mut line) = (vec![0; 16 * 1024], Vec::new(), Vec::new());
         loop {
--- a/crates/marshal/src/main.rs
+++ b/crates/marshal/src/main.rs
@@ -9,6 +9,7 @@
 mod logger;
 mod nodes;
 mod platform;
+mod reactor;
 mod serve;
 mod startup;
 mod turn;
--- a/crates/marshal/src/nodes.rs
+++ b/crates/marshal/src/nodes.rs
@@ -5,9 +5,9 @@
 use crate::clock::{Clock, duration};
 use crate::endings::Ending;
 use crate::inbox::{Inbox, Outcome};
+use crate::reactor::Async;
 use crate::turn::{Signal, Turn, connect, read_some, turn};
 use async_executor::LocalExecutor;
-use async_io::Async;
 use log::{debug, info, warn};
 use std::cell::{Cell, RefCell};
 use std::collections::VecDeque;
@@ -88,7 +88,10 @@
                     out.drain(..n);
                     self.written.set(self.written.get() + n as u64);
                 }
-                Err(e) if e.kind() == ErrorKind::WouldBlock => return Ok(()),
+                Err(e) if e.kind() == ErrorKind::WouldBlock => {
+                    stream.filled();
+                    return Ok(());
+                }
                 Err(e) if e.kind() == ErrorKind::Interrupted => {}
                 Err(_) => return Err(Ending::Broken),
             }
@@ -179,6 +182,7 @@
     ) -> Result<Rc<Link>, Ending> {
         let now = self.clock.now();
         let stand = self.stands.get_mut(node).and_then(Option::as_mut).ok_or(Ending::NoSuchNode)?;
+        let addr = stand.addr;
         stand.links.retain(|l| !l.retired.get());
         // The one used last is the least likely to be closed by the node at this moment.
         while let Some(link) =
@@ -200,10 +204,15 @@
         if self.open.get() >= self.most {
             let shared = stand.links.iter().filter(|l| !l.retired.get());
             let shared = shared.filter(|l| l.flights.borrow().len() < self.multiplex);
-            let link = shared.min_by_key(|l| l.flights.borrow().len()).ok_or(Ending::NoSocket)?;
-            link.queue(hit, hop, command, wait);
-            link.signal.raise();
-            return Ok(link.clone());
+            if let Some(link) = shared.min_by_key(|l| l.flights.borrow().len()).cloned() {
+                link.queue(hit, hop, command, wait);
+                link.signal.raise();
+                return Ok(link);
+            }
+            // This node has none to share: another's idle one goes for it.
+            let all = self.stands.iter().flatten().flat_map(|s| &s.links);
+            let idle = all.filter(|l| l.idle() && !l.retired.get()).min_by_key(|l| l.used.get());
+            idle.ok_or(Ending::NoSocket)?.finish(Ending::Idle);
         }
         let link = Rc::new(Link {
             opened: now,
@@ -218,6 +227,7 @@
             signal: Signal::default(),
         });
         link.queue(hit, hop, command, wait);
+        let stand = self.stands.get_mut(node).and_then(Option::as_mut).ok_or(Ending::NoSuchNode)?;
         stand.links.push(link.clone());
         self.open.set(self.open.get() + 1);
         let carrier = Carrier {
@@ -227,7 +237,7 @@
             open: self.open.clone(),
             scratch: self.scratch.clone(),
         };
-        self.tasks.spawn(carrier.run(stand.addr, self.up_within)).detach();
+        self.tasks.spawn(carrier.run(addr, self.up_within)).detach();
         Ok(link)
     }
 
--- a/crates/marshal/src/platform.rs
+++ b/crates/marshal/src/platform.rs
@@ -2,8 +2,8 @@
 
 use crate::clock::duration;
 use crate::inbox::{Inbox, News, Stage};
+use crate::reactor::{Async, Timer};
 use crate::turn::{Signal, Turn, connect, read_some, turn};
-use async_io::{Async, Timer};
 use log::{info, warn};
 use rand::{RngExt, SeedableRng};
 use rand_pcg::Pcg64Mcg;
@@ -121,7 +121,7 @@
         let expiring = async {
             loop {
                 match self.next_due() {
-                    Some(due) => drop(Timer::at(due).await),
+                    Some(due) => Timer::at(due).await,
                     None => self.signal.wait().await,
                 }
                 self.expire(&Line::new());
@@ -224,7 +224,10 @@
                     self.out.drain(..n);
                     self.written += n as u64;
                 }
-                Err(e) if e.kind() == ErrorKind::WouldBlock => return Ok(()),
+                Err(e) if e.kind() == ErrorKind::WouldBlock => {
+                    stream.filled();
+                    return Ok(());
+                }
                 Err(e) if e.kind() == ErrorKind::Interrupted => {}
                 Err(e) => return Err(e),
             }
--- a/crates/marshal/src/serve.rs
+++ b/crates/marshal/src/serve.rs
@@ -7,15 +7,16 @@
 use crate::inbox::Inbox;
 use crate::nodes::Nodes;
 use crate::platform::{self, Platform};
+use crate::reactor::{self, Async, Timer};
 use crate::startup;
 use async_executor::LocalExecutor;
-use async_io::{Async, Timer};
-use async_signal::{Signal, Signals};
-use futures_lite::StreamExt;
 use futures_lite::future::or;
 use log::info;
 use serde_json::Value;
+use signal_hook::consts::{SIGINT, SIGTERM};
+use std::io::{self, Read};
 use std::net::TcpListener;
+use std::os::unix::net::UnixStream;
 use std::rc::Rc;
 use std::time::Duration;
 use stonescale::host::{Host, Listing};
@@ -57,12 +58,13 @@
     let (platform, news) = startup::platform(root)?;
     let (settings, seed) = (startup::settings(root)?, startup::seed(root)?);
     let names = stonescale_site::names(settings)?;
-    let (asked, call_timeout, tick) = stonescale_site::outside(settings)?;
+    let (asked, call_timeout) = stonescale_site::outside(settings)?;
     let places = Rc::new(Places::of(&names));
     let (version, _, entries) = places.list(startup::known(root)?)?;
 
-    let listener = Async::<TcpListener>::bind(listen).map_err(|e| format!("listen: {listen}: {e}"))?;
-    let mut signals = Signals::new([Signal::Term, Signal::Int]).map_err(|e| format!("signals: {e}"))?;
+    let listener = TcpListener::bind(listen).and_then(|l| l.set_nonblocking(true).map(|()| l));
+    let listener = listener.and_then(Async::new).map_err(|e| format!("listen: {listen}: {e}"))?;
+    let signals = signals().map_err(|e| format!("signals: {e}"))?;
     let (clock, inbox) = (Clock::start(), Rc::new(Inbox::default()));
     let tasks = Rc::new(LocalExecutor::new());
     let nodes =
@@ -81,13 +83,13 @@
     let mut core = Core::new(marshal, doors);
     core.staged(platform::stage(news)?, None);
     core.listed(Listing::Cached, entries);
-    tasks.spawn(core.run(tick)).detach();
+    tasks.spawn(core.run()).detach();
 
     let clients = Clients::new(inbox, clock, names, most_clients, held);
     let listener = Rc::new(listener);
     let accepting = tasks.spawn(clients.clone().accept(listener, tasks.clone()));
-    async_io::block_on(tasks.run(async {
-        signals.next().await;
+    let until_the_end = async move {
+        told(&signals).await;
         info!("told to end: serving on for {STILL_COMING:?}, then until all is answered");
         Timer::after(STILL_COMING).await;
         accepting.cancel().await;
@@ -97,10 +99,27 @@
                 Timer::after(LOOK).await;
             }
         };
-        or(left, async { drop(signals.next().await) }).await;
+        or(left, told(&signals)).await;
         info!("ended, {} client connections left", clients.count());
-    }));
-    Ok(())
+    };
+    reactor::run(&tasks, until_the_end).map_err(|e| format!("waiting for sockets: {e}"))
+}
+
+/// A stream on which a byte comes for each SIGTERM or SIGINT.
+fn signals() -> io::Result<Async<UnixStream>> {
+    let (ours, theirs) = UnixStream::pair()?;
+    signal_hook::low_level::pipe::register(SIGTERM, theirs.try_clone()?)?;
+    signal_hook::low_level::pipe::register(SIGINT, theirs)?;
+    ours.set_nonblocking(true)?;
+    Async::new(ours)
+}
+
+/// Waits for the next signal to end.
+async fn told(signals: &Async<UnixStream>) {
+    while !matches!(signals.get_ref().read(&mut [0]), Ok(1)) {
+        signals.drained();
+        signals.readable().await;
+    }
 }
 
 /// A host for a marshal that is made only to see whether its settings can be read.
--- a/crates/marshal/src/startup.rs
+++ b/crates/marshal/src/startup.rs
@@ -9,7 +9,7 @@
 const RESERVED: usize = 64;
 /// Part of the other descriptors that is for clients. Each hit takes up one of theirs, but node connections
 /// can carry several forwards.
-const CLIENTS: f64 = 0.64;
+const CLIENTS: f64 = 0.8;
 /// Part of the memory limit that hits in work may hold.
 const HELD: usize = 2;
 
--- a/crates/marshal/src/turn.rs
+++ b/crates/marshal/src/turn.rs
@@ -1,6 +1,6 @@
 //! What a socket task waits for: its socket, a call from the core task, or a time.
 
-use async_io::{Async, Timer};
+use crate::reactor::{self, Async, Timer};
 use futures_lite::future::{or, pending};
 use std::cell::{Cell, RefCell};
 use std::future::poll_fn;
@@ -50,15 +50,14 @@
 ) -> Turn {
     let readable = async {
         match read {
-            // An error shows again when the socket is read.
-            true => drop(stream.readable().await),
+            true => stream.readable().await,
             false => pending().await,
         }
         Turn::Readable
     };
     let writable = async {
         match write {
-            true => drop(stream.writable().await),
+            true => stream.writable().await,
             false => pending().await,
         }
         Turn::Writable
@@ -69,7 +68,7 @@
     };
     let due = async {
         match due {
-            Some(at) => drop(Timer::at(at).await),
+            Some(at) => Timer::at(at).await,
             None => pending().await,
         }
         Turn::Due
@@ -81,8 +80,16 @@
 pub fn read_some<'a>(stream: &Async<TcpStream>, scratch: &'a mut [u8]) -> io::Result<Option<&'a [u8]>> {
     loop {
         match stream.get_ref().read(scratch) {
-            Ok(n) => return Ok(Some(&scratch[..n])),
-            Err(e) if e.kind() == ErrorKind::WouldBlock => return Ok(None),
+            Ok(n) => {
+                if n < scratch.len() {
+                    stream.drained();
+                }
+                return Ok(Some(&scratch[..n]));
+            }
+            Err(e) if e.kind() == ErrorKind::WouldBlock => {
+                stream.drained();
+                return Ok(None);
+            }
             Err(e) if e.kind() == ErrorKind::Interrupted => {}
             Err(e) => return Err(e),
         }
@@ -95,7 +102,7 @@
         Timer::after(limit).await;
         Err(ErrorKind::TimedOut.into())
     };
-    let stream = or(Async::<TcpStream>::connect(addr), late).await?;
+    let stream = or(reactor::connect(addr), late).await?;
     stream.get_ref().set_nodelay(true)?;
     Ok(stream)
 }
--- a/crates/site/src/lib.rs
+++ b/crates/site/src/lib.rs
@@ -191,11 +191,10 @@
     ))
 }
 
-/// Whether the node list answers only when asked, how long a vote may take, and the shortest gap between two
-/// batches of events.
-pub fn outside(root: &Value) -> Result<(bool, Span, Span), String> {
+/// Whether the node list answers only when asked, and how long a vote may take.
+pub fn outside(root: &Value) -> Result<(bool, Span), String> {
     let top = Told(root, "");
     let asked = top.word("membership_mode")? == "ask";
     let call_timeout = Told(top.need("specifics")?, "specifics.").span("call_timeout_ns")?;
-    Ok((asked, call_timeout, top.span("tick_ns")?))
+    Ok((asked, call_timeout))
 }
