--- a/crates/marshal/src/clients.rs
+++ b/crates/marshal/src/clients.rs
@@ -152,6 +152,8 @@
     room: Rc<Room>,
     used: Cell<Instant>,
     gone: Cell<bool>,
+    /// Its descriptor is wanted for others: it is closed if it is idle still when its task gets to it.
+    unwanted: Cell<bool>,
     pub signal: Signal,
 }
 
@@ -323,6 +325,7 @@
                 room: self.room.clone(),
                 used: Cell::new(Instant::now()),
                 gone: Cell::new(false),
+                unwanted: Cell::new(false),
                 signal: Signal::default(),
             });
             self.count.set(self.count.get() + 1);
@@ -341,7 +344,7 @@
         // A client whose fresh connection is closed opens the next one at once, for no gain.
         let spared = |c: &&&Rc<Client>| c.used.get().elapsed() >= SPARED && c.idle();
         for client in idle.iter().take(AT_ONCE).filter(spared) {
-            client.gone.set(true);
+            client.unwanted.set(true);
             client.signal.raise();
         }
     }
@@ -396,7 +399,7 @@
             if let (Some(why), true) = (lost, client.done()) {
                 return Err(why);
             }
-            if self.leaving.get() && held.is_empty() && client.idle() {
+            if (client.unwanted.take() || self.leaving.get()) && held.is_empty() && client.idle() {
                 return Ok(());
             }
             let room = lost.is_none() && self.has_room(client);
--- a/crates/marshal/src/nodes.rs
+++ b/crates/marshal/src/nodes.rs
@@ -22,6 +22,9 @@
 /// Of the time in which a node closes an idle connection: by then the marshal has closed it itself.
 const RETIRE: f64 = 0.6;
 
+/// A connection used so lately is not looked at before it is used again.
+const FRESH: Span = Span::millis(20);
+
 struct Flight {
     hit: u32,
     hop: u8,
@@ -189,7 +192,7 @@
             stand.links.iter().filter(|l| l.idle() && !l.retired.get()).max_by_key(|l| l.used.get())
         {
             let link = link.clone();
-            if link.sound() {
+            if now - link.used.get() < FRESH || link.sound() {
                 link.used.set(now);
                 link.queue(hit, hop, command, wait);
                 if let Err(ending) = link.flush() {
@@ -201,7 +204,10 @@
             }
             link.finish(Ending::Closed);
         }
-        if self.open.get() >= self.most {
+        // A storm of new connections costs node and marshal more than waiting behind another forward: one at a
+        // time comes up to a node.
+        let coming = stand.links.iter().any(|l| !l.retired.get() && l.stream.borrow().is_none());
+        if coming || self.open.get() >= self.most {
             let shared = stand.links.iter().filter(|l| !l.retired.get());
             let shared = shared.filter(|l| l.flights.borrow().len() < self.multiplex);
             if let Some(link) = shared.min_by_key(|l| l.flights.borrow().len()).cloned() {
--- a/crates/marshal/src/reactor.rs
+++ b/crates/marshal/src/reactor.rs
@@ -123,10 +123,11 @@
 impl<T: AsFd> Drop for Async<T> {
     fn drop(&mut self) {
         // The kernel forgets the socket when it is closed, right after this.
-        with(|r| {
-            r.slots[self.at] = Slot::default();
+        let wakers = with(|r| {
             r.free.push(self.at);
+            std::mem::take(&mut r.slots[self.at])
         });
+        drop(wakers);
     }
 }
 
@@ -185,13 +186,13 @@
 impl Drop for Timer {
     fn drop(&mut self) {
         if let Some(number) = self.number {
-            with(|r| r.timers.remove(&(self.due, number)));
+            drop(with(|r| r.timers.remove(&(self.due, number))));
         }
     }
 }
 
 /// Waits for events, for no longer than `most`, and wakes whom they concern.
-fn wait(events: &mut Vec<Event>, most: Duration) -> io::Result<()> {
+fn wait(events: &mut Vec<Event>, woken: &mut Vec<Waker>, most: Duration) -> io::Result<()> {
     events.clear();
     with(|r| {
         let next = r.timers.keys().next().map(|(due, _)| due.saturating_duration_since(Instant::now()));
@@ -213,25 +214,26 @@
             slot.sides[READ].ready |= flags.contains(EventFlags::IN);
             slot.sides[WRITE].ready |= flags.contains(EventFlags::OUT);
             let over = slot.over;
-            for side in slot.sides.iter_mut().filter(|s| s.ready || over) {
-                side.waker.take().into_iter().for_each(Waker::wake);
-            }
+            woken.extend(slot.sides.iter_mut().filter(|s| s.ready || over).filter_map(|s| s.waker.take()));
         }
         let now = Instant::now();
         while let Some(entry) = r.timers.first_entry().filter(|e| e.key().0 <= now) {
-            entry.remove().wake();
+            woken.push(entry.remove());
         }
-        Ok(())
-    })
+        io::Result::Ok(())
+    })?;
+    // Outside of the reactor: what a waker sets off may drop sockets.
+    woken.drain(..).for_each(Waker::wake);
+    Ok(())
 }
 
 /// Runs all tasks on this thread until `main` has ended.
 pub fn run(tasks: &LocalExecutor<'static>, main: impl Future<Output = ()> + 'static) -> io::Result<()> {
     let main = tasks.spawn(main);
-    let mut events = Vec::with_capacity(EVENTS);
+    let (mut events, mut woken) = (Vec::with_capacity(EVENTS), Vec::new());
     while !main.is_finished() {
         let busy = (0..TASKS).take_while(|_| tasks.try_tick()).count() == TASKS;
-        wait(&mut events, if busy || main.is_finished() { Duration::ZERO } else { LONGEST })?;
+        wait(&mut events, &mut woken, if busy || main.is_finished() { Duration::ZERO } else { LONGEST })?;
     }
     Ok(())
 }
--- a/crates/marshal/src/serve.rs
+++ b/crates/marshal/src/serve.rs
@@ -65,6 +65,7 @@
     let listener = TcpListener::bind(listen).and_then(|l| l.set_nonblocking(true).map(|()| l));
     let listener = listener.and_then(Async::new).map_err(|e| format!("listen: {listen}: {e}"))?;
     let signals = signals().map_err(|e| format!("signals: {e}"))?;
+    info!("listening at {}", listener.get_ref().local_addr().unwrap_or(listen));
     let (clock, inbox) = (Clock::start(), Rc::new(Inbox::default()));
     let tasks = Rc::new(LocalExecutor::new());
     let nodes =
