--- a/crates/formats/tests/parsers.rs
+++ b/crates/formats/tests/parsers.rs
@@ -8,8 +8,10 @@
 
 const BOUNDS: Bounds = Bounds { parts: 4, bulk: 100, line: 40, whole: 200 };
 
+type Found = Option<(usize, Vec<(Kind, Vec<u8>)>)>;
+
 /// Scans `bytes` as they grow by `step`; returns the message's length and its parts.
-fn scan(bytes: &[u8], step: usize) -> Result<Option<(usize, Vec<(Kind, Vec<u8>)>)>, &'static str> {
+fn scan(bytes: &[u8], step: usize) -> Result<Found, &'static str> {
     let mut scanner = Scanner::new(BOUNDS);
     let mut end = 0;
     while end < bytes.len() {
