--- a/crates/marshal/src/core.rs
+++ b/crates/marshal/src/core.rs
@@ -244,6 +244,7 @@
                 Some(&at) => self.marshal.flagged(now, at as u64, group, age),
                 None => warn!("a complaint about an unknown node is skipped"),
             },
+            News::Sums(build, group, n, failed) => self.marshal.told_sums(now, (build, group), (n, failed)),
         }
     }
 
--- a/crates/marshal/src/inbox.rs
+++ b/crates/marshal/src/inbox.rs
@@ -27,6 +27,8 @@
         group: usize,
         age: Span,
     },
+    /// Build, path group, forwards counted over all marshals, and how many of them failed.
+    Sums(u16, usize, u32, u32),
 }
 
 pub enum Outcome {
--- a/crates/marshal/src/platform.rs
+++ b/crates/marshal/src/platform.rs
@@ -281,16 +281,25 @@
     fn notice(&mut self, method: &str, params: &Value) {
         let number = |key: &str| params.get(key).and_then(Value::as_f64);
         let text = |key: &str| params.get(key).and_then(Value::as_str);
+        let group = || text("class").and_then(|c| self.platform.groups.iter().position(|g| g == c));
         match method {
             "ping" => {}
+            // Only some platforms tell what they counted.
+            "metrics" => match (number("build"), group(), number("count"), number("failed")) {
+                (Some(build), Some(group), Some(n), Some(failed)) => {
+                    self.platform.inbox.news(News::Sums(build as u16, group, n as u32, failed as u32));
+                }
+                _ => warn!(
+                    "platform: metrics are skipped: build, class, count or failed is missing or unknown"
+                ),
+            },
             "progress" => match stage(params) {
                 Ok(stage) => self.platform.inbox.news(News::Stage(stage, None)),
                 Err(why) => warn!("platform: progress is skipped: {why}"),
             },
             "complaint" => {
-                let group = text("class").and_then(|c| self.platform.groups.iter().position(|g| g == c));
                 let age = number("age_ms").map(|ms| Span::of_seconds(ms.max(0.0) / 1e3));
-                match (text("server"), group, age) {
+                match (text("server"), group(), age) {
                     (Some(node), Some(group), Some(age)) => {
                         self.platform.inbox.news(News::Flagged { node: node.to_owned(), group, age });
                     }
@@ -299,7 +308,7 @@
                     ),
                 }
             }
-            other => info!("platform: notification '{other}' is unknown, skipped"),
+            other => info!("notification '{other}' is unknown, skipped: {params}"),
         }
     }
 }
