--- a/crates/marshal/src/clients.rs
+++ b/crates/marshal/src/clients.rs
@@ -314,8 +314,6 @@
                 }
             };
             short = false;
-            // Without it answers only go out later, on a connection that may have broken already.
-            let _ = stream.get_ref().set_nodelay(true);
             let client = Rc::new(Client {
                 stream: RefCell::new(Some(Rc::new(stream))),
                 slots: RefCell::default(),
--- a/crates/marshal/src/reactor.rs
+++ b/crates/marshal/src/reactor.rs
@@ -131,11 +131,19 @@
     }
 }
 
+/// Sends small messages at once. A congestion control that paces what it sends sets a kernel timer a message;
+/// the plainest does not. Refused, either only costs time.
+pub fn quicken(socket: impl AsFd) {
+    let _ = rustix::net::sockopt::set_tcp_nodelay(&socket, true);
+    let _ = rustix::net::sockopt::set_tcp_congestion(&socket, "reno");
+}
+
 /// Connects for as long as the future is polled.
 pub async fn connect(addr: SocketAddr) -> io::Result<Async<TcpStream>> {
     let family = if addr.is_ipv4() { AddressFamily::INET } else { AddressFamily::INET6 };
     let flags = SocketFlags::CLOEXEC | SocketFlags::NONBLOCK;
     let socket = rustix::net::socket_with(family, SocketType::STREAM, flags, None)?;
+    quicken(&socket);
     match rustix::net::connect(&socket, &addr) {
         Ok(()) | Err(rustix::io::Errno::INPROGRESS) => {}
         Err(e) => return Err(e.into()),
--- a/crates/marshal/src/serve.rs
+++ b/crates/marshal/src/serve.rs
@@ -63,6 +63,8 @@
     let (version, _, entries) = places.list(startup::known(root)?)?;
 
     let listener = TcpListener::bind(listen).and_then(|l| l.set_nonblocking(true).map(|()| l));
+    // What is taken on it inherits this.
+    listener.iter().for_each(reactor::quicken);
     let listener = listener.and_then(Async::new).map_err(|e| format!("listen: {listen}: {e}"))?;
     let signals = signals().map_err(|e| format!("signals: {e}"))?;
     info!("listening at {}", listener.get_ref().local_addr().unwrap_or(listen));
--- a/crates/marshal/src/turn.rs
+++ b/crates/marshal/src/turn.rs
@@ -102,7 +102,5 @@
         Timer::after(limit).await;
         Err(ErrorKind::TimedOut.into())
     };
-    let stream = or(reactor::connect(addr), late).await?;
-    stream.get_ref().set_nodelay(true)?;
-    Ok(stream)
+    or(reactor::connect(addr), late).await
 }
