--- a/crates/marshal/src/clients.rs
+++ b/crates/marshal/src/clients.rs
@@ -28,8 +28,8 @@
 const AGAIN: Duration = Duration::from_millis(10);
 /// Idle connections closed for new ones at one go.
 const AT_ONCE: usize = 16;
-/// Idle connections are not closed for others before that.
-const SPARED: Duration = Duration::from_millis(200);
+/// Idle connections are not closed for others before that: a client that is late itself still means to use them.
+const SPARED: Duration = Duration::from_millis(2_000);
 /// How long a connection that lost its framing may take to read why.
 const LINGER: Duration = Duration::from_secs(1);
 /// No client waits longer than this.
