--- a/crates/marshal/src/clients.rs
+++ b/crates/marshal/src/clients.rs
@@ -3,12 +3,12 @@
 use crate::clock::Clock;
 use crate::inbox::{Arrival, Inbox, Outcome};
 use crate::reactor::{Async, Timer};
-use crate::turn::{Signal, Turn, read_some, turn};
+use crate::turn::{Signal, Turn, read_some, turn, write_some};
 use async_executor::LocalExecutor;
 use log::{debug, warn};
 use std::cell::{Cell, RefCell};
 use std::collections::VecDeque;
-use std::io::{ErrorKind, Write};
+use std::io::ErrorKind;
 use std::net::{Shutdown, TcpListener, TcpStream};
 use std::ops::Range;
 use std::rc::{Rc, Weak};
@@ -205,19 +205,8 @@
         let stream = self.stream.borrow();
         let Some(stream) = stream.as_ref() else { return Ok(()) };
         let mut out = self.out.borrow_mut();
-        while !out.is_empty() {
-            match stream.get_ref().write(out.as_slices().0) {
-                Ok(n) => drop(out.drain(..n)),
-                Err(e) if e.kind() == ErrorKind::WouldBlock => {
-                    stream.filled();
-                    return Ok(());
-                }
-                Err(e) if e.kind() == ErrorKind::Interrupted => {}
-                Err(e) => return Err(e),
-            }
-        }
-        if out.capacity() > VALUE {
-            out.shrink_to(0);
+        if !write_some(stream, &mut out, &mut 0)? {
+            return Ok(());
         }
         self.room.held.set(self.room.held.get().saturating_sub(self.owed.take()));
         self.used.set(Instant::now());
--- a/crates/marshal/src/nodes.rs
+++ b/crates/marshal/src/nodes.rs
@@ -6,12 +6,12 @@
 use crate::endings::Ending;
 use crate::inbox::{Inbox, Outcome};
 use crate::reactor::Async;
-use crate::turn::{Signal, Turn, connect, read_some, turn};
+use crate::turn::{Signal, Turn, connect, read_some, turn, write_some};
 use async_executor::LocalExecutor;
 use log::{debug, info, warn};
 use std::cell::{Cell, RefCell};
 use std::collections::VecDeque;
-use std::io::{ErrorKind, Write};
+use std::io::ErrorKind;
 use std::net::{SocketAddr, TcpStream};
 use std::rc::Rc;
 use stonescale::host::Readiness;
@@ -85,24 +85,10 @@
         let stream = self.stream.borrow();
         let Some(stream) = stream.as_ref() else { return Ok(()) };
         let mut out = self.out.borrow_mut();
-        while !out.is_empty() {
-            match stream.get_ref().write(out.as_slices().0) {
-                Ok(n) => {
-                    out.drain(..n);
-                    self.written.set(self.written.get() + n as u64);
-                }
-                Err(e) if e.kind() == ErrorKind::WouldBlock => {
-                    stream.filled();
-                    return Ok(());
-                }
-                Err(e) if e.kind() == ErrorKind::Interrupted => {}
-                Err(_) => return Err(Ending::Broken),
-            }
-        }
-        if out.capacity() > VALUE {
-            out.shrink_to(0);
-        }
-        Ok(())
+        let mut written = self.written.get();
+        let wrote = write_some(stream, &mut out, &mut written);
+        self.written.set(written);
+        wrote.map(|_| ()).map_err(|_| Ending::Broken)
     }
 }
 
--- a/crates/marshal/src/platform.rs
+++ b/crates/marshal/src/platform.rs
@@ -3,14 +3,13 @@
 use crate::clock::duration;
 use crate::inbox::{Inbox, News, Stage};
 use crate::reactor::{Async, Timer};
-use crate::turn::{Signal, Turn, connect, read_some, turn};
+use crate::turn::{Signal, Turn, connect, read_some, turn, write_some};
 use log::{info, warn};
 use rand::{RngExt, SeedableRng};
 use rand_pcg::Pcg64Mcg;
 use serde_json::{Value, json};
 use std::cell::RefCell;
 use std::collections::VecDeque;
-use std::io::{ErrorKind, Write};
 use std::net::{SocketAddr, TcpStream};
 use std::rc::Rc;
 use std::time::{Duration, Instant};
@@ -218,21 +217,7 @@
     }
 
     fn flush(&mut self, stream: &Async<TcpStream>) -> std::io::Result<()> {
-        while !self.out.is_empty() {
-            match stream.get_ref().write(self.out.as_slices().0) {
-                Ok(n) => {
-                    self.out.drain(..n);
-                    self.written += n as u64;
-                }
-                Err(e) if e.kind() == ErrorKind::WouldBlock => {
-                    stream.filled();
-                    return Ok(());
-                }
-                Err(e) if e.kind() == ErrorKind::Interrupted => {}
-                Err(e) => return Err(e),
-            }
-        }
-        Ok(())
+        write_some(stream, &mut self.out, &mut self.written).map(|_| ())
     }
 }
 
--- a/crates/marshal/src/turn.rs
+++ b/crates/marshal/src/turn.rs
@@ -3,12 +3,16 @@
 use crate::reactor::{self, Async, Timer};
 use futures_lite::future::{or, pending};
 use std::cell::{Cell, RefCell};
+use std::collections::VecDeque;
 use std::future::poll_fn;
-use std::io::{self, ErrorKind, Read};
+use std::io::{self, ErrorKind, Read, Write};
 use std::net::{SocketAddr, TcpStream};
 use std::task::{Poll, Waker};
 use std::time::{Duration, Instant};
 
+/// An empty buffer that once had to be larger than this is given back.
+const KEPT: usize = 64 * 1024;
+
 /// Raised by one side, waited for by one task on the other.
 #[derive(Default)]
 pub struct Signal {
@@ -96,6 +100,29 @@
     }
 }
 
+/// Writes what can be written now, counting it in `written` also where the connection breaks. True once
+/// nothing is left.
+pub fn write_some(stream: &Async<TcpStream>, out: &mut VecDeque<u8>, written: &mut u64) -> io::Result<bool> {
+    while !out.is_empty() {
+        match stream.get_ref().write(out.as_slices().0) {
+            Ok(n) => {
+                out.drain(..n);
+                *written += n as u64;
+            }
+            Err(e) if e.kind() == ErrorKind::WouldBlock => {
+                stream.filled();
+                return Ok(false);
+            }
+            Err(e) if e.kind() == ErrorKind::Interrupted => {}
+            Err(e) => return Err(e),
+        }
+    }
+    if out.capacity() > KEPT {
+        out.shrink_to(0);
+    }
+    Ok(true)
+}
+
 /// Connects within `limit`; an error of kind `TimedOut` where the connection doesn't come up.
 pub async fn connect(addr: SocketAddr, limit: Duration) -> io::Result<Async<TcpStream>> {
     let late = async {
