Tidy the sockets: twins folded, no wake-up of a client's task for each answer

The same tail of two parsers and the same look at an idle socket stood in clients and nodes: now turn.rs consume and quiet. What was written whole is asked in one place each (Link::sent, Call::written). Every answer woke its connection's task, though only a closing, full or blocked one has something to do: a mark on the client says so, and takes the place of the flag that all shared. Forwards and ids have names in place of tuple places; the classes are read once; a line that printed whole parameters goes back to what it was.

--- a/crates/marshal/src/clients.rs
+++ b/crates/marshal/src/clients.rs
@@ -3,7 +3,7 @@
 use crate::clock::Clock;
 use crate::inbox::{Arrival, Inbox, Outcome};
 use crate::reactor::{Async, Timer};
-use crate::turn::{Signal, Turn, read_some, turn, write_some};
+use crate::turn::{Signal, Turn, consume, quiet, read_some, turn, write_some};
 use async_executor::LocalExecutor;
 use log::{debug, warn};
 use std::cell::{Cell, RefCell};
@@ -154,7 +154,9 @@
     gone: Cell<bool>,
     /// Its descriptor is wanted for others: it is closed if it is idle still when its task gets to it.
     unwanted: Cell<bool>,
-    pub signal: Signal,
+    /// It is to be closed as soon as all is answered.
+    closing: Cell<bool>,
+    signal: Signal,
 }
 
 /// What all hits in work may hold in memory together: their commands, and a value for each.
@@ -163,6 +165,12 @@
     most: usize,
 }
 
+impl Room {
+    fn free(&self, cost: usize) {
+        self.held.set(self.held.get().saturating_sub(cost));
+    }
+}
+
 impl Client {
     pub fn gone(&self) -> bool {
         self.gone.get()
@@ -181,6 +189,7 @@
         if self.gone.get() {
             return;
         }
+        let full = self.slots.borrow().len() >= MOST_SLOTS;
         {
             let mut slots = self.slots.borrow_mut();
             let at = place.wrapping_sub(self.first.get()) as usize;
@@ -194,8 +203,9 @@
                 slots.pop_front();
             }
         }
-        let before = self.out.borrow().len();
-        if self.flush().is_err() || !self.out.borrow().is_empty() || before >= MOST_UNSENT || self.done() {
+        let full = full || self.out.borrow().len() >= MOST_UNSENT;
+        // The connection's own task is woken only where it has something to do: each hit comes by here.
+        if self.flush().is_err() || !self.out.borrow().is_empty() || full || self.closing.get() {
             self.signal.raise();
         }
     }
@@ -208,7 +218,7 @@
         if !write_some(stream, &mut out, &mut 0)? {
             return Ok(());
         }
-        self.room.held.set(self.room.held.get().saturating_sub(self.owed.take()));
+        self.room.free(self.owed.take());
         self.used.set(Instant::now());
         Ok(())
     }
@@ -222,7 +232,7 @@
     fn idle(&self) -> bool {
         let stream = self.stream.borrow();
         let Some(stream) = stream.as_ref().filter(|_| self.done()) else { return false };
-        matches!(stream.get_ref().peek(&mut [0]), Err(e) if e.kind() == ErrorKind::WouldBlock)
+        quiet(stream)
     }
 }
 
@@ -231,8 +241,7 @@
         let cost = |s: &Slot| match s {
             Slot::Open(cost, _) | Slot::Answered(cost, _) => *cost,
         };
-        let cost = self.slots.borrow().iter().map(cost).sum::<usize>() + self.owed.get();
-        self.room.held.set(self.room.held.get().saturating_sub(cost));
+        self.room.free(self.slots.borrow().iter().map(cost).sum::<usize>() + self.owed.get());
     }
 }
 
@@ -245,8 +254,6 @@
     most: usize,
     open: RefCell<Vec<Weak<Client>>>,
     count: Cell<usize>,
-    /// The marshal is to end: connections are closed as they fall idle.
-    leaving: Cell<bool>,
     scratch: RefCell<Vec<u8>>,
 }
 
@@ -260,7 +267,6 @@
             most,
             open: RefCell::default(),
             count: Cell::new(0),
-            leaving: Cell::new(false),
             scratch: RefCell::new(vec![0; VALUE]),
         })
     }
@@ -271,8 +277,10 @@
 
     /// From now on connections are closed when they are idle.
     pub fn leave(&self) {
-        self.leaving.set(true);
-        self.open.borrow().iter().filter_map(Weak::upgrade).for_each(|c| c.signal.raise());
+        for client in self.open.borrow().iter().filter_map(Weak::upgrade) {
+            client.closing.set(true);
+            client.signal.raise();
+        }
     }
 
     /// Takes connections for as long as the future is polled.
@@ -313,6 +321,7 @@
                 used: Cell::new(Instant::now()),
                 gone: Cell::new(false),
                 unwanted: Cell::new(false),
+                closing: Cell::new(false),
                 signal: Signal::default(),
             });
             self.count.set(self.count.get() + 1);
@@ -376,6 +385,7 @@
             if lost.is_none() && !held.is_empty() {
                 lost = self.take_whole(client, &mut scanner, &mut held).err();
                 if let Some(why) = lost {
+                    client.closing.set(true);
                     self.enter(client, Err(format!("protocol error: {why}")));
                     held = Vec::new();
                 }
@@ -386,7 +396,7 @@
             if let (Some(why), true) = (lost, client.done()) {
                 return Err(why);
             }
-            if (client.unwanted.take() || self.leaving.get()) && held.is_empty() && client.idle() {
+            if (client.unwanted.take() || client.closing.get()) && held.is_empty() && client.idle() {
                 return Ok(());
             }
             let room = lost.is_none() && self.has_room(client);
@@ -427,10 +437,7 @@
             scanner.reset();
             start += length;
         }
-        held.drain(..start);
-        if held.is_empty() {
-            held.shrink_to(4 * 1024);
-        }
+        consume(held, start);
         Ok(())
     }
 
--- a/crates/marshal/src/core.rs
+++ b/crates/marshal/src/core.rs
@@ -37,8 +37,14 @@
     place: u64,
     command: Command,
     answered: bool,
-    /// By number: when it was sent, and the connection until its end was told.
-    forwards: Vec<(Time, Option<Rc<Link>>, bool)>,
+    forwards: Vec<Forward>,
+}
+
+struct Forward {
+    sent: Time,
+    /// The connection, until its end was told; none where there was none to be had.
+    link: Option<Rc<Link>>,
+    told: bool,
 }
 
 /// What the module's calls act on.
@@ -91,14 +97,14 @@
 
     /// Forgets a hit that is answered, with the ends of all its forwards told.
     fn release(&mut self, hit: u32) {
-        if self.hits.get(&hit).is_some_and(|open| open.answered && open.forwards.iter().all(|f| f.2)) {
+        if self.hits.get(&hit).is_some_and(|open| open.answered && open.forwards.iter().all(|f| f.told)) {
             self.hits.remove(&hit);
         }
     }
 
     fn give_up(&self, hit: u32, hop: u8, ending: Ending) {
         let forward = self.hits.get(&hit).and_then(|open| open.forwards.get(usize::from(hop)));
-        if let Some((_, Some(link), false)) = forward {
+        if let Some(Forward { link: Some(link), told: false, .. }) = forward {
             self.nodes.give_up(link, hit, hop, ending);
         }
     }
@@ -114,11 +120,11 @@
         };
         match link {
             Ok(link) => {
-                open.forwards.push((self.now, Some(link), false));
+                open.forwards.push(Forward { sent: self.now, link: Some(link), told: false });
                 self.at(self.now + timeout, Due::Forward(hit, hop));
             }
             Err(ending) => {
-                open.forwards.push((self.now, None, false));
+                open.forwards.push(Forward { sent: self.now, link: None, told: false });
                 debug!("a forward could not be sent: {ending:?}");
                 self.inbox.ended(hit, hop, ending, false);
             }
@@ -290,9 +296,9 @@
     fn ended(&mut self, hit: u32, hop: u8, ending: Ending, sent: bool, value: Vec<u8>) {
         let now = self.doors.now;
         let Some(open) = self.doors.hits.get_mut(&hit) else { return };
-        let Some(forward) = open.forwards.get_mut(usize::from(hop)).filter(|f| !f.2) else { return };
-        (forward.1, forward.2) = (None, true);
-        let (fate, latency) = (ending.fate(sent), now - forward.0);
+        let Some(forward) = open.forwards.get_mut(usize::from(hop)).filter(|f| !f.told) else { return };
+        (forward.link, forward.told) = (None, true);
+        let (fate, latency) = (ending.fate(sent), now - forward.sent);
         if fate == Fate::Ok && !open.answered {
             open.answered = true;
             open.client.answer(open.place, value);
--- a/crates/marshal/src/nodes.rs
+++ b/crates/marshal/src/nodes.rs
@@ -6,12 +6,11 @@
 use crate::endings::Ending;
 use crate::inbox::{Inbox, Outcome};
 use crate::reactor::Async;
-use crate::turn::{Signal, Turn, connect, read_some, turn, write_some};
+use crate::turn::{Signal, Turn, connect, consume, quiet, read_some, turn, write_some};
 use async_executor::LocalExecutor;
 use log::{debug, info, warn};
 use std::cell::{Cell, RefCell};
 use std::collections::VecDeque;
-use std::io::ErrorKind;
 use std::net::{SocketAddr, TcpStream};
 use std::rc::Rc;
 use stonescale::host::Readiness;
@@ -21,7 +20,6 @@
 const BOUNDS: Bounds = Bounds { parts: 8, bulk: VALUE, line: 1024, whole: VALUE + 4 * 1024 };
 /// Of the time in which a node closes an idle connection: by then the marshal has closed it itself.
 const RETIRE: f64 = 0.6;
-
 /// A connection used so lately is not looked at before it is used again.
 const FRESH: Span = Span::millis(20);
 
@@ -64,11 +62,14 @@
         self.signal.raise();
     }
 
+    /// The forward's last byte has been written.
+    fn sent(&self, flight: &Flight) -> bool {
+        self.written.get() >= flight.whole_at
+    }
+
     /// Nothing has come on it that nobody waits for, and the node has not ended it.
     fn sound(&self) -> bool {
-        let stream = self.stream.borrow();
-        let Some(stream) = stream.as_ref() else { return true };
-        matches!(stream.get_ref().peek(&mut [0]), Err(e) if e.kind() == ErrorKind::WouldBlock)
+        self.stream.borrow().as_ref().is_none_or(|stream| quiet(stream))
     }
 
     fn queue(&self, hit: u32, hop: u8, command: &Command, wait: Span) {
@@ -240,7 +241,7 @@
             return;
         };
         flight.told = true;
-        let sent = link.written.get() >= flight.whole_at;
+        let sent = link.sent(flight);
         let alone = flights.iter().all(|f| f.told);
         drop(flights);
         link.retired.set(true);
@@ -285,7 +286,7 @@
             debug!("connection to {addr} ended with {} forwards: {ending:?}", flights.len());
         }
         for flight in flights.into_iter().filter(|f| !f.told) {
-            let sent = self.link.written.get() >= flight.whole_at;
+            let sent = self.link.sent(&flight);
             self.inbox.ended(flight.hit, flight.hop, ending, sent);
         }
     }
@@ -365,8 +366,7 @@
                 warn!("a node found a forward malformed");
             }
             let mut flights = self.link.flights.borrow_mut();
-            let written = self.link.written.get();
-            let flight = flights.pop_front_if(|f| f.whole_at <= written).ok_or("no forward was out")?;
+            let flight = flights.pop_front_if(|f| self.link.sent(f)).ok_or("no forward was out")?;
             if !flight.told {
                 let (hit, hop, sent) = (flight.hit, flight.hop, true);
                 self.inbox.outcome(Outcome::Ended { hit, hop, ending, sent, value });
@@ -375,10 +375,7 @@
             scanner.reset();
             start += length;
         }
-        held.drain(..start);
-        if held.is_empty() {
-            held.shrink_to(4 * 1024);
-        }
+        consume(held, start);
         Ok(())
     }
 }
--- a/crates/marshal/src/platform.rs
+++ b/crates/marshal/src/platform.rs
@@ -8,7 +8,7 @@
 use rand::{RngExt, SeedableRng};
 use rand_pcg::Pcg64Mcg;
 use serde_json::{Value, json};
-use std::cell::RefCell;
+use std::cell::{Cell, RefCell};
 use std::collections::VecDeque;
 use std::net::{SocketAddr, TcpStream};
 use std::rc::Rc;
@@ -36,12 +36,20 @@
     whole_at: Option<u64>,
 }
 
+impl Call {
+    /// Its last byte was written on this connection.
+    fn written(&self, line: &Line) -> bool {
+        self.whole_at.is_some_and(|at| line.written >= at)
+    }
+}
+
 pub struct Platform {
     addr: SocketAddr,
     inbox: Rc<Inbox>,
     call_timeout: Span,
     groups: Vec<String>,
-    calls: RefCell<(u64, VecDeque<Call>)>,
+    last_id: Cell<u64>,
+    calls: RefCell<VecDeque<Call>>,
     signal: Signal,
 }
 
@@ -63,8 +71,8 @@
 
 impl Platform {
     pub fn new(addr: SocketAddr, inbox: Rc<Inbox>, call_timeout: Span, groups: Vec<String>) -> Rc<Self> {
-        let (calls, signal) = (RefCell::default(), Signal::default());
-        Rc::new(Platform { addr, inbox, call_timeout, groups, calls, signal })
+        let (last_id, calls, signal) = (Cell::new(0), RefCell::default(), Signal::default());
+        Rc::new(Platform { addr, inbox, call_timeout, groups, last_id, calls, signal })
     }
 
     pub fn vote(&self, build: u16, stage: u8, verdict: Verdict) {
@@ -75,13 +83,16 @@
             Verdict::Back => "stop",
         };
         let due = Instant::now() + duration(self.call_timeout);
-        let mut calls = self.calls.borrow_mut();
-        calls.0 += 1;
-        let (id, params) = (calls.0, json!({"build": build, "stage": stage, "verdict": verdict}));
-        calls.1.push_back(Call { id, params, due, whole_at: None });
+        let (id, params) = (self.next_id(), json!({"build": build, "stage": stage, "verdict": verdict}));
+        self.calls.borrow_mut().push_back(Call { id, params, due, whole_at: None });
         self.signal.raise();
     }
 
+    fn next_id(&self) -> u64 {
+        self.last_id.set(self.last_id.get() + 1);
+        self.last_id.get()
+    }
+
     /// Tells the module how a vote without a usable answer ended.
     fn failed(&self, fate: Fate) {
         let none = (0, 0, Standing::Withdrawn, 0.0, Span::ZERO);
@@ -100,8 +111,9 @@
             info!("platform: {why}");
             // What was written whole may have been carried out; the rest goes on the next connection.
             let mut lost = 0;
-            self.calls.borrow_mut().1.retain_mut(|call| {
-                let written = call.whole_at.take().is_some_and(|at| line.written >= at);
+            self.calls.borrow_mut().retain_mut(|call| {
+                let written = call.written(&line);
+                call.whole_at = None;
                 lost += usize::from(written);
                 !written
             });
@@ -130,17 +142,16 @@
     }
 
     fn next_due(&self) -> Option<Instant> {
-        self.calls.borrow().1.iter().map(|c| c.due).min()
+        self.calls.borrow().iter().map(|c| c.due).min()
     }
 
     /// Ends the votes whose time is over.
     fn expire(&self, line: &Line) {
         let now = Instant::now();
         let mut ended = Vec::new();
-        self.calls.borrow_mut().1.retain(|call| {
+        self.calls.borrow_mut().retain(|call| {
             if call.due <= now {
-                let written = call.whole_at.is_some_and(|at| line.written >= at);
-                ended.push(if written { Fate::TimedOut } else { Fate::Unreached });
+                ended.push(if call.written(line) { Fate::TimedOut } else { Fate::Unreached });
             }
             call.due > now
         });
@@ -149,17 +160,13 @@
 
     /// Subscribes, sends votes, hands on what comes; returns why the connection is of no more use.
     async fn talk(&self, stream: &Async<TcpStream>, line: &mut Line) -> String {
-        let subscription = {
-            let mut calls = self.calls.borrow_mut();
-            calls.0 += 1;
-            calls.0
-        };
+        let subscription = self.next_id();
         line.call(subscription, "subscribe", Value::Null);
         let (mut lines, mut text, mut scratch) = (Lines::new(LINE), Vec::new(), vec![0; 16 * 1024]);
         let mut silent_at = Instant::now() + SILENCE;
         loop {
             self.expire(line);
-            for call in self.calls.borrow_mut().1.iter_mut().filter(|c| c.whole_at.is_none()) {
+            for call in self.calls.borrow_mut().iter_mut().filter(|c| c.whole_at.is_none()) {
                 call.whole_at = Some(line.call(call.id, "release.vote", call.params.clone()));
             }
             if let Err(e) = line.flush(stream) {
@@ -231,9 +238,9 @@
     /// Ends the vote with this id; false where none is out, or its time was over.
     fn answered(&self, id: u64) -> bool {
         let mut calls = self.platform.calls.borrow_mut();
-        let before = calls.1.len();
-        calls.1.retain(|c| c.id != id);
-        calls.1.len() < before
+        let before = calls.len();
+        calls.retain(|c| c.id != id);
+        calls.len() < before
     }
 }
 
@@ -293,7 +300,7 @@
                     ),
                 }
             }
-            other => info!("notification '{other}' is unknown, skipped: {params}"),
+            other => info!("platform: notification '{other}' is unknown, skipped"),
         }
     }
 }
--- a/crates/marshal/src/turn.rs
+++ b/crates/marshal/src/turn.rs
@@ -13,6 +13,9 @@
 /// An empty buffer that once had to be larger than this is given back.
 const KEPT: usize = 64 * 1024;
 
+/// What a buffer for half-read messages keeps while it is empty.
+const HALF_READ: usize = 4 * 1024;
+
 /// Raised by one side, waited for by one task on the other.
 #[derive(Default)]
 pub struct Signal {
@@ -100,6 +103,19 @@
     }
 }
 
+/// Nothing has come that was not read, and the other side has not ended the stream.
+pub fn quiet(stream: &Async<TcpStream>) -> bool {
+    matches!(stream.get_ref().peek(&mut [0]), Err(e) if e.kind() == ErrorKind::WouldBlock)
+}
+
+/// Drops what has been taken from the front of `held`; emptied, it gives a large buffer back.
+pub fn consume(held: &mut Vec<u8>, taken: usize) {
+    held.drain(..taken);
+    if held.is_empty() {
+        held.shrink_to(HALF_READ);
+    }
+}
+
 /// Writes what can be written now, counting it in `written` also where the connection breaks. True once
 /// nothing is left.
 pub fn write_some(stream: &Async<TcpStream>, out: &mut VecDeque<u8>, written: &mut u64) -> io::Result<bool> {
--- a/crates/site/src/lib.rs
+++ b/crates/site/src/lib.rs
@@ -13,7 +13,7 @@
 pub struct Told<'a>(pub &'a Value, pub &'a str);
 
 impl<'a> Told<'a> {
-    pub fn find(&self, key: &str) -> Option<&'a Value> {
+    fn find(&self, key: &str) -> Option<&'a Value> {
         self.0.get(key).filter(|v| !v.is_null())
     }
 
@@ -21,7 +21,7 @@
         self.find(key).ok_or_else(|| format!("{}{key} is missing", self.1))
     }
 
-    pub fn wrong(&self, key: &str, wanted: &str) -> String {
+    fn wrong(&self, key: &str, wanted: &str) -> String {
         format!("{}{key} is not {wanted}", self.1)
     }
 
@@ -30,15 +30,15 @@
     }
 
     /// An optional number; absent means that the site has no such thing.
-    pub fn number_or_none(&self, key: &str) -> Result<f64, String> {
+    fn number_or_none(&self, key: &str) -> Result<f64, String> {
         self.find(key).map_or(Ok(0.0), |v| v.as_f64().ok_or_else(|| self.wrong(key, "a number")))
     }
 
-    pub fn span(&self, key: &str) -> Result<Span, String> {
+    fn span(&self, key: &str) -> Result<Span, String> {
         Ok(Span::nanos(self.number(key)?.max(0.0) as u64))
     }
 
-    pub fn flag(&self, key: &str) -> Result<bool, String> {
+    fn flag(&self, key: &str) -> Result<bool, String> {
         self.find(key).map_or(Ok(false), |v| v.as_bool().ok_or_else(|| self.wrong(key, "true or false")))
     }
 
@@ -46,7 +46,7 @@
         self.need(key)?.as_str().ok_or_else(|| self.wrong(key, "a text"))
     }
 
-    pub fn list(&self, key: &str) -> Result<&'a [Value], String> {
+    fn list(&self, key: &str) -> Result<&'a [Value], String> {
         self.need(key)?.as_array().map(Vec::as_slice).ok_or_else(|| self.wrong(key, "a list"))
     }
 }
@@ -159,25 +159,22 @@
 
 pub fn names(root: &Value) -> Result<Names, String> {
     let top = Told(root, "");
-    let of = |key: &str, place: &str| -> Result<Vec<String>, String> {
-        top.list(key)?.iter().map(|v| Ok(Told(v, place).word("name")?.to_owned())).collect()
-    };
     let words = |key: &str| -> Result<Vec<String>, String> {
         let word = |v: &Value| v.as_str().map(str::to_owned).ok_or_else(|| top.wrong(key, "a list of texts"));
         top.list(key)?.iter().map(word).collect()
     };
-    let mut groups = Vec::new();
-    for (name, (at, value)) in
-        of("classes", "classes[].")?.into_iter().zip(top.list("classes")?.iter().enumerate())
-    {
-        groups.push((name, path_group(value, &format!("classes[{at}]."))?.effect));
+    let name = |value: &Value, place: &str| Told(value, place).word("name").map(str::to_owned);
+    let (mut groups, mut tenants) = (Vec::new(), Vec::new());
+    for (at, value) in top.list("classes")?.iter().enumerate() {
+        let place = format!("classes[{at}].");
+        groups.push((name(value, &place)?, path_group(value, &place)?.effect));
     }
-    Ok(Names {
-        groups,
-        tenants: if top.find("realms").is_some() { of("realms", "realms[].")? } else { Vec::new() },
-        zones: words("azs")?,
-        kinds: words("flavors")?,
-    })
+    if top.find("realms").is_some() {
+        for value in top.list("realms")? {
+            tenants.push(name(value, "realms[].")?);
+        }
+    }
+    Ok(Names { groups, tenants, zones: words("azs")?, kinds: words("flavors")? })
 }
 
 /// How connections to nodes are made: how long one may take to come up, how long it may stand idle, and how
