SIGHUP reads the configuration again: discovery and platform move without a gap

The file is read by the same start-up code; its discovery address wins over NODE_DISCOVERY. The new connection comes first: the platform is a list of posts, a new one is left to be the only one once it is heard, the old one still gets the answers to its votes; the old watch goes on until the new one tells something. A faulty file is one error line. A line of discovery or the platform that can't be read whole now ends its connection; a list entry that could not be read was passed over before, and a drain with it (discovery.rs list).

--- a/crates/marshal/src/core.rs
+++ b/crates/marshal/src/core.rs
@@ -250,6 +250,10 @@
                 Some(&at) => self.marshal.flagged(now, at as u64, group, age),
                 None => warn!("a complaint about an unknown node is skipped"),
             },
+            News::Moved(discovery, platform) => {
+                discovery.into_iter().for_each(|addr| self.doors.discovery.at(addr));
+                platform.into_iter().for_each(|addr| self.doors.platform.at(addr));
+            }
             News::Sums(build, group, n, failed) => self.marshal.told_sums(now, (build, group), (n, failed)),
         }
     }
--- a/crates/marshal/src/discovery.rs
+++ b/crates/marshal/src/discovery.rs
@@ -5,7 +5,7 @@
 use crate::reactor::Async;
 use crate::turn::{Signal, Turn, connect, read_some, turn};
 use async_executor::{LocalExecutor, Task};
-use log::{info, warn};
+use log::info;
 use serde_json::Value;
 use std::cell::{Cell, RefCell};
 use std::io::Write;
@@ -25,7 +25,7 @@
 const LINE: usize = 4 << 20;
 
 pub struct Discovery {
-    addr: SocketAddr,
+    addr: Cell<SocketAddr>,
     places: Rc<Places>,
     inbox: Rc<Inbox>,
     tasks: Rc<LocalExecutor<'static>>,
@@ -33,6 +33,10 @@
     version: Rc<Cell<Option<u64>>>,
     watch: RefCell<Option<Task<()>>>,
     fetch: RefCell<Option<Task<()>>>,
+    /// The watch at the address before, until something comes from the present one.
+    before: Rc<RefCell<Option<Task<()>>>>,
+    /// Number of the newest call: a failure of any other is not told.
+    newest: Rc<Cell<u64>>,
 }
 
 /// The names of zones and kinds, to read entries by.
@@ -77,14 +81,9 @@
         let version = told.get("version").and_then(Value::as_u64).ok_or("version is not a number")?;
         let full = told.get("full").and_then(Value::as_bool).ok_or("full is not true or false")?;
         let servers = told.get("servers").and_then(Value::as_array).ok_or("servers is not a list")?;
-        let mut entries = Vec::new();
-        for server in servers {
-            match self.entry(server) {
-                Ok(entry) => entries.push(entry),
-                Err(why) => warn!("an entry of the node list is skipped: {why}"),
-            }
-        }
-        Ok((version, full, entries))
+        // A line is true as a whole or not at all: with an entry passed over, a drain could be missed for ever.
+        let entries: Result<Vec<_>, _> = servers.iter().map(|server| self.entry(server)).collect();
+        Ok((version, full, entries?))
     }
 }
 
@@ -94,8 +93,20 @@
         version: Option<u64>,
     ) -> Self {
         let version = Rc::new(Cell::new(version));
-        let (watch, fetch) = (RefCell::default(), RefCell::default());
-        Discovery { addr, places, inbox, tasks, version, watch, fetch }
+        let (watch, fetch, before) = (RefCell::default(), RefCell::default(), Rc::default());
+        let (addr, newest) = (Cell::new(addr), Rc::default());
+        Discovery { addr, places, inbox, tasks, version, watch, fetch, before, newest }
+    }
+
+    /// From now on discovery is at `addr`. The watch that stands goes on until something comes from there, so
+    /// that no drain falls into a gap.
+    pub fn at(&self, addr: SocketAddr) {
+        self.addr.set(addr);
+        if let Some(watch) = self.watch.take() {
+            // Of several moves in a row, the oldest watch is the one that stands for sure.
+            self.before.borrow_mut().get_or_insert(watch);
+            self.watch(true);
+        }
     }
 
     /// Opens a watch in place of any other, or ends it.
@@ -116,26 +127,38 @@
 
     fn call(&self, path: String) -> Call {
         let (places, inbox, version) = (self.places.clone(), self.inbox.clone(), self.version.clone());
-        Call { addr: self.addr, path, places, inbox, version }
+        let (before, newest) = (self.before.clone(), self.newest.clone());
+        let number = newest.get() + 1;
+        newest.set(number);
+        Call { addr: self.addr.get(), path, number, places, inbox, version, before, newest }
     }
 }
 
 struct Call {
     addr: SocketAddr,
     path: String,
+    number: u64,
     places: Rc<Places>,
     inbox: Rc<Inbox>,
     version: Rc<Cell<Option<u64>>>,
+    before: Rc<RefCell<Option<Task<()>>>>,
+    newest: Rc<Cell<u64>>,
 }
 
 impl Call {
     async fn run(self) {
         if let Err(why) = self.read().await {
             info!("discovery: {why}");
-            self.inbox.news(News::ListFailed);
+            if self.newest() {
+                self.inbox.news(News::ListFailed);
+            }
         }
     }
 
+    fn newest(&self) -> bool {
+        self.newest.get() == self.number
+    }
+
     async fn read(&self) -> Result<(), String> {
         let stream = connect(self.addr, UP_WITHIN).await.map_err(|e| format!("no connection: {e}"))?;
         let ask =
@@ -195,6 +218,9 @@
             self.version.set(None);
             return Err(format!("changes of version {version}, which is older than the list held"));
         }
+        if self.newest() {
+            drop(self.before.take());
+        }
         self.version.set(Some(version));
         self.inbox.news(News::Listed(if full { Listing::Full } else { Listing::Delta }, entries));
         Ok(())
--- a/crates/marshal/src/inbox.rs
+++ b/crates/marshal/src/inbox.rs
@@ -29,6 +29,8 @@
     },
     /// Build, path group, forwards counted over all marshals, and how many of them failed.
     Sums(u16, usize, u32, u32),
+    /// Where discovery and the platform are from now on, if not where they were.
+    Moved(Option<SocketAddr>, Option<SocketAddr>),
 }
 
 pub enum Outcome {
--- a/crates/marshal/src/main.rs
+++ b/crates/marshal/src/main.rs
@@ -31,7 +31,8 @@
   --config FILE   the configuration; else the file that NODE_CONFIG names
   --log LEVEL     error, warn, info (the default), debug or trace
 
-NODE_NAME, NODE_LISTEN and NODE_DISCOVERY are stronger than the file.
+NODE_NAME, NODE_LISTEN and NODE_DISCOVERY are stronger than the file. On SIGHUP serve reads the file again: then
+the addresses of discovery and the platform are as the file says, and all else waits for the next start.
 ";
 
 fn main() -> ExitCode {
@@ -59,12 +60,11 @@
     }
     match command.as_deref() {
         Some("serve") => {
-            let root = startup::read(file)?;
             logger::start(level.unwrap_or(LevelFilter::Info));
-            serve::serve(&root)
+            serve::serve(&startup::place(file)?)
         }
         Some("check") => {
-            println!("{}", serve::check(&startup::read(file)?)?);
+            println!("{}", serve::check(&startup::read(&startup::place(file)?)?)?);
             Ok(())
         }
         Some("version") => {
--- a/crates/marshal/src/platform.rs
+++ b/crates/marshal/src/platform.rs
@@ -1,9 +1,11 @@
-//! The platform: one connection, always subscribed, on which votes go out as well.
+//! The platform: one connection, always subscribed, on which votes go out as well. Where the platform moves, the
+//! one to its old address stays until the new one is heard.
 
 use crate::clock::duration;
 use crate::inbox::{Inbox, News, Stage};
 use crate::reactor::{Async, Timer};
 use crate::turn::{Signal, Turn, connect, read_some, turn, write_some};
+use async_executor::LocalExecutor;
 use log::{info, warn};
 use rand::{RngExt, SeedableRng};
 use rand_pcg::Pcg64Mcg;
@@ -32,24 +34,42 @@
     id: u64,
     params: Value,
     due: Instant,
-    /// Bytes written on the connection once its last one is; none while it waits for a connection.
-    whole_at: Option<u64>,
+    /// The post that took it on, and bytes written on its connection once the last one is; none while it waits.
+    taken: Option<(u64, u64)>,
 }
 
 impl Call {
-    /// Its last byte was written on this connection.
-    fn written(&self, line: &Line) -> bool {
-        self.whole_at.is_some_and(|at| line.written >= at)
+    /// Waits for any post, or is this one's.
+    fn concerns(&self, post: &Post) -> bool {
+        self.taken.is_none_or(|(number, _)| number == post.number)
+    }
+
+    /// Its last byte was written on this post's connection.
+    fn written(&self, post: &Post, line: &Line) -> bool {
+        self.taken.is_some_and(|(number, at)| number == post.number && line.written >= at)
     }
 }
 
 pub struct Platform {
-    addr: SocketAddr,
     inbox: Rc<Inbox>,
+    tasks: Rc<LocalExecutor<'static>>,
     call_timeout: Span,
     groups: Vec<String>,
+    seed: u64,
     last_id: Cell<u64>,
     calls: RefCell<VecDeque<Call>>,
+    /// The newest last; those before it are on their way out.
+    posts: RefCell<Vec<Rc<Post>>>,
+}
+
+/// One address of the platform, and the connection to it.
+struct Post {
+    number: u64,
+    addr: SocketAddr,
+    /// Something came from there.
+    heard: Cell<bool>,
+    /// A newer one was heard: only the answers to its own calls count still.
+    left: Cell<bool>,
     signal: Signal,
 }
 
@@ -70,9 +90,32 @@
 }
 
 impl Platform {
-    pub fn new(addr: SocketAddr, inbox: Rc<Inbox>, call_timeout: Span, groups: Vec<String>) -> Rc<Self> {
-        let (last_id, calls, signal) = (Cell::new(0), RefCell::default(), Signal::default());
-        Rc::new(Platform { addr, inbox, call_timeout, groups, last_id, calls, signal })
+    pub fn new(
+        inbox: Rc<Inbox>, tasks: Rc<LocalExecutor<'static>>, call_timeout: Span, groups: Vec<String>,
+        seed: u64,
+    ) -> Rc<Self> {
+        let (last_id, calls, posts) = (Cell::new(0), RefCell::default(), RefCell::default());
+        Rc::new(Platform { inbox, tasks, call_timeout, groups, seed, last_id, calls, posts })
+    }
+
+    /// From now on the platform is at `addr`. What stands is kept until something came from there, so that
+    /// neither votes nor news fall into a gap; one that was never heard is of no use.
+    pub fn at(self: &Rc<Self>, addr: SocketAddr) {
+        let (number, heard, left) = (self.next_id(), Cell::new(false), Cell::new(false));
+        let post = Rc::new(Post { number, addr, heard, left, signal: Signal::default() });
+        let before = self.posts.borrow().clone();
+        before.iter().filter(|p| !p.heard.get()).for_each(|p| self.leave(p));
+        self.posts.borrow_mut().push(post.clone());
+        self.tasks.spawn(self.clone().run(post)).detach();
+    }
+
+    fn leave(&self, post: &Post) {
+        post.left.set(true);
+        post.signal.raise();
+    }
+
+    fn newest(&self, post: &Post) -> bool {
+        self.posts.borrow().last().is_some_and(|p| p.number == post.number)
     }
 
     pub fn vote(&self, build: u16, stage: u8, verdict: Verdict) {
@@ -84,8 +127,8 @@
         };
         let due = Instant::now() + duration(self.call_timeout);
         let (id, params) = (self.next_id(), json!({"build": build, "stage": stage, "verdict": verdict}));
-        self.calls.borrow_mut().push_back(Call { id, params, due, whole_at: None });
-        self.signal.raise();
+        self.calls.borrow_mut().push_back(Call { id, params, due, taken: None });
+        self.posts.borrow().iter().for_each(|p| p.signal.raise());
     }
 
     fn next_id(&self) -> u64 {
@@ -99,81 +142,102 @@
         self.inbox.news(News::Stage(none, Some(fate)));
     }
 
-    pub async fn run(self: Rc<Self>, seed: u64) {
-        let mut chance = Pcg64Mcg::seed_from_u64(seed);
+    async fn run(self: Rc<Self>, post: Rc<Post>) {
+        let mut chance = Pcg64Mcg::seed_from_u64(self.seed ^ post.number);
         let mut pause = PAUSE;
         loop {
             let mut line = Line::new();
-            let why = match self.connect().await {
-                Ok(stream) => self.talk(&stream, &mut line).await,
+            let why = match self.connect(&post).await {
+                Ok(stream) => self.talk(&post, &stream, &mut line).await,
                 Err(e) => format!("no connection: {e}"),
             };
             info!("platform: {why}");
             // What was written whole may have been carried out; the rest goes on the next connection.
             let mut lost = 0;
             self.calls.borrow_mut().retain_mut(|call| {
-                let written = call.written(&line);
-                call.whole_at = None;
+                let written = call.written(&post, &line);
+                call.taken = call.taken.filter(|(number, _)| *number != post.number);
                 lost += usize::from(written);
                 !written
             });
             (0..lost).for_each(|_| self.failed(Fate::TimedOut));
+            if !self.newest(&post) {
+                break;
+            }
             pause = if line.heard { PAUSE } else { (pause * 2).min(LONGEST_PAUSE) };
             let until = Instant::now() + pause.mul_f64(chance.random_range(0.5..1.5));
             while Instant::now() < until {
-                Timer::at(self.next_due().map_or(until, |due| due.min(until))).await;
-                self.expire(&line);
+                Timer::at(self.next_due(&post).map_or(until, |due| due.min(until))).await;
+                self.expire(&post, &line);
+            }
+            if !self.newest(&post) {
+                break;
             }
         }
+        self.posts.borrow_mut().retain(|p| p.number != post.number);
+        self.posts.borrow().iter().for_each(|p| p.signal.raise());
     }
 
     /// Connects; votes that come due meanwhile end.
-    async fn connect(&self) -> std::io::Result<Async<TcpStream>> {
+    async fn connect(&self, post: &Post) -> std::io::Result<Async<TcpStream>> {
         let expiring = async {
             loop {
-                match self.next_due() {
+                match self.next_due(post) {
                     Some(due) => Timer::at(due).await,
-                    None => self.signal.wait().await,
+                    None => post.signal.wait().await,
+                }
+                if post.left.get() {
+                    return Err(std::io::Error::other("the platform has moved"));
                 }
-                self.expire(&Line::new());
+                self.expire(post, &Line::new());
             }
         };
-        futures_lite::future::or(connect(self.addr, UP_WITHIN), expiring).await
+        futures_lite::future::or(connect(post.addr, UP_WITHIN), expiring).await
     }
 
-    fn next_due(&self) -> Option<Instant> {
-        self.calls.borrow().iter().map(|c| c.due).min()
+    fn next_due(&self, post: &Post) -> Option<Instant> {
+        self.calls.borrow().iter().filter(|c| c.concerns(post)).map(|c| c.due).min()
     }
 
     /// Ends the votes whose time is over.
-    fn expire(&self, line: &Line) {
+    fn expire(&self, post: &Post, line: &Line) {
         let now = Instant::now();
         let mut ended = Vec::new();
         self.calls.borrow_mut().retain(|call| {
-            if call.due <= now {
-                ended.push(if call.written(line) { Fate::TimedOut } else { Fate::Unreached });
+            let over = call.due <= now && call.concerns(post);
+            if over {
+                ended.push(if call.written(post, line) { Fate::TimedOut } else { Fate::Unreached });
             }
-            call.due > now
+            !over
         });
         ended.into_iter().for_each(|fate| self.failed(fate));
     }
 
+    /// Takes on the votes that wait, unless a newer post has answered already.
+    fn take_on(&self, post: &Post, line: &mut Line) {
+        for call in self.calls.borrow_mut().iter_mut().filter(|c| c.taken.is_none() && !post.left.get()) {
+            call.taken = Some((post.number, line.call(call.id, "release.vote", call.params.clone())));
+        }
+    }
+
     /// Subscribes, sends votes, hands on what comes; returns why the connection is of no more use.
-    async fn talk(&self, stream: &Async<TcpStream>, line: &mut Line) -> String {
+    async fn talk(&self, post: &Post, stream: &Async<TcpStream>, line: &mut Line) -> String {
         let subscription = self.next_id();
         line.call(subscription, "subscribe", Value::Null);
         let (mut lines, mut text, mut scratch) = (Lines::new(LINE), Vec::new(), vec![0; 16 * 1024]);
         let mut silent_at = Instant::now() + SILENCE;
         loop {
-            self.expire(line);
-            for call in self.calls.borrow_mut().iter_mut().filter(|c| c.whole_at.is_none()) {
-                call.whole_at = Some(line.call(call.id, "release.vote", call.params.clone()));
+            self.expire(post, line);
+            let mine = |c: &Call| c.taken.is_some_and(|(number, _)| number == post.number);
+            if post.left.get() && !self.calls.borrow().iter().any(mine) {
+                return "the platform has moved".into();
             }
+            self.take_on(post, line);
             if let Err(e) = line.flush(stream) {
                 return format!("broke: {e}");
             }
-            let due = self.next_due().map_or(silent_at, |due| due.min(silent_at));
-            match turn(stream, true, !line.out.is_empty(), &self.signal, Some(due)).await {
+            let due = self.next_due(post).map_or(silent_at, |due| due.min(silent_at));
+            match turn(stream, true, !line.out.is_empty(), &post.signal, Some(due)).await {
                 Turn::Due if Instant::now() >= silent_at => return format!("silent for {SILENCE:?}"),
                 Turn::Readable => match read_some(stream, &mut scratch) {
                     Ok(None) => {}
@@ -186,11 +250,14 @@
             loop {
                 match lines.next(&mut text) {
                     Ok(true) => {
-                        (silent_at, line.heard) = (Instant::now() + SILENCE, true);
-                        let mut ear = Ear { platform: self, subscription };
-                        if let Err(why) = rpc::read(&text, &mut ear) {
-                            warn!("platform: a line is skipped: {why}");
+                        let mut ear = Ear { platform: self, post, subscription, unread: None };
+                        let read = rpc::read(&text, &mut ear).map_err(str::to_owned);
+                        // Behind a line that can't be read, nothing is sure: who has nothing to say to it
+                        // would wait for what was lost with it.
+                        if let Err(why) = read.and(ear.unread.map_or(Ok(()), Err)) {
+                            return format!("a line can't be read: {why}");
                         }
+                        (silent_at, line.heard) = (Instant::now() + SILENCE, true);
                     }
                     Ok(false) => break,
                     Err(why) => return why.into(),
@@ -198,6 +265,14 @@
             }
         }
     }
+
+    /// What was heard on this post is of use: those before it are left.
+    fn heard(&self, post: &Post) {
+        if !post.heard.replace(true) {
+            let posts = self.posts.borrow();
+            posts.iter().take_while(|p| p.number != post.number).for_each(|p| self.leave(p));
+        }
+    }
 }
 
 /// What goes out on one connection.
@@ -231,7 +306,10 @@
 /// Hands on what one line says.
 struct Ear<'a> {
     platform: &'a Platform,
+    post: &'a Post,
     subscription: u64,
+    /// What in the line could not be read.
+    unread: Option<String>,
 }
 
 impl Ear<'_> {
@@ -246,14 +324,15 @@
 
 impl Listener for Ear<'_> {
     fn result(&mut self, id: u64, result: &Value) {
+        self.platform.heard(self.post);
         if id == self.subscription || !self.answered(id) {
             return;
         }
         match stage(result) {
             Ok(stage) => self.platform.inbox.news(News::Stage(stage, Some(Fate::Ok))),
             Err(why) => {
-                warn!("platform: the answer to a vote can't be read: {why}");
                 self.platform.failed(Fate::TimedOut);
+                self.unread = Some(why);
             }
         }
     }
@@ -271,6 +350,11 @@
     }
 
     fn notice(&mut self, method: &str, params: &Value) {
+        self.platform.heard(self.post);
+        if self.post.left.get() {
+            // The newer one tells it as well.
+            return;
+        }
         let number = |key: &str| params.get(key).and_then(Value::as_f64);
         let text = |key: &str| params.get(key).and_then(Value::as_str);
         let group = || text("class").and_then(|c| self.platform.groups.iter().position(|g| g == c));
@@ -281,13 +365,11 @@
                 (Some(build), Some(group), Some(n), Some(failed)) => {
                     self.platform.inbox.news(News::Sums(build as u16, group, n as u32, failed as u32));
                 }
-                _ => warn!(
-                    "platform: metrics are skipped: build, class, count or failed is missing or unknown"
-                ),
+                _ => self.unread = Some("build, class, count or failed of metrics".into()),
             },
             "progress" => match stage(params) {
                 Ok(stage) => self.platform.inbox.news(News::Stage(stage, None)),
-                Err(why) => warn!("platform: progress is skipped: {why}"),
+                Err(why) => self.unread = Some(why),
             },
             "complaint" => {
                 let age = number("age_ms").map(|ms| Span::of_seconds(ms.max(0.0) / 1e3));
@@ -295,12 +377,13 @@
                     (Some(node), Some(group), Some(age)) => {
                         self.platform.inbox.news(News::Flagged { node: node.to_owned(), group, age });
                     }
-                    _ => warn!(
-                        "platform: a complaint is skipped: server, class or age_ms is missing or unknown"
-                    ),
+                    _ => self.unread = Some("server, class or age_ms of a complaint".into()),
                 }
             }
-            other => info!("platform: notification '{other}' is unknown, skipped"),
+            other if other.bytes().all(|b| b.is_ascii_alphanumeric() || b"._".contains(&b)) => {
+                info!("platform: notification '{other}' is unknown, skipped");
+            }
+            _ => self.unread = Some("name of a notification".into()),
         }
     }
 }
--- a/crates/marshal/src/serve.rs
+++ b/crates/marshal/src/serve.rs
@@ -4,19 +4,20 @@
 use crate::clock::Clock;
 use crate::core::{Core, Doors};
 use crate::discovery::{Discovery, Places};
-use crate::inbox::Inbox;
+use crate::inbox::{Inbox, News};
 use crate::nodes::Nodes;
 use crate::platform::{self, Platform};
 use crate::reactor::{self, Async, Timer};
 use crate::startup;
 use async_executor::LocalExecutor;
 use futures_lite::future::or;
-use log::info;
+use log::{error, info, warn};
 use serde_json::Value;
-use signal_hook::consts::{SIGINT, SIGTERM};
+use signal_hook::consts::{SIGHUP, SIGINT, SIGTERM};
 use std::io::{self, Read};
-use std::net::TcpListener;
+use std::net::{SocketAddr, TcpListener};
 use std::os::unix::net::UnixStream;
+use std::path::{Path, PathBuf};
 use std::rc::Rc;
 use std::time::Duration;
 use stonescale::host::{Host, Listing};
@@ -50,10 +51,14 @@
     ))
 }
 
-/// Serves until SIGTERM, then until all that was taken is answered.
-pub fn serve(root: &Value) -> Result<(), String> {
+/// Serves until SIGTERM, then until all that was taken is answered. On SIGHUP `file` is read again.
+pub fn serve(file: &Path) -> Result<(), String> {
+    // Before anything else: a signal that nobody waits for would end the program.
+    let ends = signals(&[SIGTERM, SIGINT]).map_err(|e| format!("signals: {e}"))?;
+    let rereads = signals(&[SIGHUP]).map_err(|e| format!("signals: {e}"))?;
+    let root = &startup::read(file)?;
     info!("{}", check(root)?);
-    let (_, listen, discovery) = startup::identity(root)?;
+    let (_, listen, there) = startup::identity(root)?;
     let (most_clients, most_links, held) = startup::limits(root)?;
     let (platform, news) = startup::platform(root)?;
     let (settings, seed) = (startup::settings(root)?, startup::seed(root)?);
@@ -66,16 +71,16 @@
     // What is taken on it inherits this.
     listener.iter().for_each(reactor::quicken);
     let listener = listener.and_then(Async::new).map_err(|e| format!("listen: {listen}: {e}"))?;
-    let signals = signals().map_err(|e| format!("signals: {e}"))?;
     info!("listening at {}", listener.get_ref().local_addr().unwrap_or(listen));
     let (clock, inbox) = (Clock::start(), Rc::new(Inbox::default()));
     let tasks = Rc::new(LocalExecutor::new());
     let nodes =
         Nodes::new(inbox.clone(), tasks.clone(), clock, stonescale_site::links(settings)?, most_links);
-    let discovery = Discovery::new(discovery, places, inbox.clone(), tasks.clone(), Some(version));
+    let discovery = Discovery::new(there, places, inbox.clone(), tasks.clone(), Some(version));
     let groups = names.groups.iter().map(|g| g.0.clone()).collect();
-    let platform = Platform::new(platform, inbox.clone(), call_timeout, groups);
-    tasks.spawn(platform.clone().run(seed)).detach();
+    let there = (there, platform);
+    let platform = Platform::new(inbox.clone(), tasks.clone(), call_timeout, groups, seed);
+    platform.at(there.1);
 
     let mut doors = Doors::new(clock, inbox.clone(), nodes, discovery, platform);
     let marshal = stonescale_site::marshal(settings, seed, clock.now(), &mut doors)?;
@@ -87,12 +92,13 @@
     core.staged(platform::stage(news)?, None);
     core.listed(Listing::Cached, entries);
     tasks.spawn(core.run()).detach();
+    tasks.spawn(reread(rereads, file.to_owned(), root.clone(), there, inbox.clone())).detach();
 
     let clients = Clients::new(inbox, clock, names, most_clients, held);
     let listener = Rc::new(listener);
     let accepting = tasks.spawn(clients.clone().accept(listener, tasks.clone()));
     let until_the_end = async move {
-        told(&signals).await;
+        told(&ends).await;
         info!("told to end: serving on for {STILL_COMING:?}, then until all is answered");
         Timer::after(STILL_COMING).await;
         accepting.cancel().await;
@@ -102,22 +108,50 @@
                 Timer::after(LOOK).await;
             }
         };
-        or(left, told(&signals)).await;
+        or(left, told(&ends)).await;
         info!("ended, {} client connections left", clients.count());
     };
     reactor::run(&tasks, until_the_end).map_err(|e| format!("waiting for sockets: {e}"))
 }
 
-/// A stream on which a byte comes for each SIGTERM or SIGINT.
-fn signals() -> io::Result<Async<UnixStream>> {
+/// On each SIGHUP reads the configuration again. The addresses of discovery and platform move to what it says,
+/// all else needs a new start. A faulty file changes nothing.
+async fn reread(
+    signals: Async<UnixStream>, file: PathBuf, running: Value, mut there: (SocketAddr, SocketAddr),
+    inbox: Rc<Inbox>,
+) {
+    loop {
+        told(&signals).await;
+        let read = startup::read(&file).and_then(|root| Ok((check(&root)?, startup::moved(&root)?, root)));
+        let (_, now, root) = match read {
+            Ok(read) => read,
+            Err(why) => {
+                error!("told to read the configuration again: it is faulty, the one before stays: {why}");
+                continue;
+            }
+        };
+        info!("told to read the configuration again: discovery {}, platform {}", now.0, now.1);
+        let differing = startup::differing(&root, &running);
+        if !differing.is_empty() {
+            warn!("changed, and needing a new start: {}", differing.join(", "));
+        }
+        let moved = |now: SocketAddr, was: SocketAddr| (now != was).then_some(now);
+        inbox.news(News::Moved(moved(now.0, there.0), moved(now.1, there.1)));
+        there = now;
+    }
+}
+
+/// A stream on which a byte comes for each of these signals.
+fn signals(which: &[i32]) -> io::Result<Async<UnixStream>> {
     let (ours, theirs) = UnixStream::pair()?;
-    signal_hook::low_level::pipe::register(SIGTERM, theirs.try_clone()?)?;
-    signal_hook::low_level::pipe::register(SIGINT, theirs)?;
+    for signal in which {
+        signal_hook::low_level::pipe::register(*signal, theirs.try_clone()?)?;
+    }
     ours.set_nonblocking(true)?;
     Async::new(ours)
 }
 
-/// Waits for the next signal to end.
+/// Waits for the next signal.
 async fn told(signals: &Async<UnixStream>) {
     while !matches!(signals.get_ref().read(&mut [0]), Ok(1)) {
         signals.drained();
--- a/crates/marshal/src/startup.rs
+++ b/crates/marshal/src/startup.rs
@@ -1,8 +1,9 @@
-//! Start-up: the one place where configuration is read, checked and defaulted. Messages name the key.
+//! Start-up: the one place where configuration is read, checked and defaulted, also when it is read again.
+//! Messages name the key.
 
 use serde_json::Value;
 use std::net::SocketAddr;
-use std::path::PathBuf;
+use std::path::{Path, PathBuf};
 use stonescale_site::Told;
 
 /// Descriptors kept free for discovery, the platform, the log, and what the process itself needs.
@@ -18,11 +19,14 @@
     std::env::var(name).ok().filter(|v| !v.is_empty())
 }
 
-/// The configuration file, by the command line or else by the environment.
-pub fn read(file: Option<PathBuf>) -> Result<Value, String> {
+/// Where the configuration is, by the command line or else by the environment.
+pub fn place(file: Option<PathBuf>) -> Result<PathBuf, String> {
     let path = file.or_else(|| variable("NODE_CONFIG").map(PathBuf::from));
-    let path = path.ok_or("NODE_CONFIG is not set, and no --config was given")?;
-    let text = std::fs::read(&path).map_err(|e| format!("NODE_CONFIG: {}: {e}", path.display()))?;
+    Ok(path.ok_or("NODE_CONFIG is not set, and no --config was given")?)
+}
+
+pub fn read(path: &Path) -> Result<Value, String> {
+    let text = std::fs::read(path).map_err(|e| format!("NODE_CONFIG: {}: {e}", path.display()))?;
     let root: Value = serde_json::from_slice(&text)
         .map_err(|e| format!("NODE_CONFIG: {}: not JSON: {e}", path.display()))?;
     if root.is_object() { Ok(root) } else { Err(format!("NODE_CONFIG: {}: not an object", path.display())) }
@@ -46,6 +50,23 @@
     Ok((name, listen, address(root, "NODE_DISCOVERY", "discovery", "")?))
 }
 
+/// Addresses of discovery and of the platform in a file that is read again. The environment is from the
+/// start: it counts only for what the file does not say.
+pub fn moved(root: &Value) -> Result<(SocketAddr, SocketAddr), String> {
+    let discovery = match root.get("discovery") {
+        Some(_) => address(root, "", "discovery", "")?,
+        None => address(root, "NODE_DISCOVERY", "discovery", "")?,
+    };
+    Ok((discovery, platform(root)?.0))
+}
+
+/// The keys in which a file differs from the one that runs, but for what only tells how things stood when it
+/// was written and the addresses that `moved` reads.
+pub fn differing(root: &Value, running: &Value) -> Vec<String> {
+    let differs = |key: &&str| root.get(*key) != running.get(*key);
+    ["name", "listen", "seed", "limits", "settings"].into_iter().filter(differs).map(str::to_owned).collect()
+}
+
 /// Seed of the random numbers.
 pub fn seed(root: &Value) -> Result<u64, String> {
     let text = Told(root, "").word("seed")?;
