--- a/crates/marshal/src/clients.rs
+++ b/crates/marshal/src/clients.rs
@@ -5,6 +5,7 @@
 use crate::reactor::{Async, Timer};
 use crate::turn::{Signal, Turn, consume, quiet, read_some, turn, write_some};
 use async_executor::LocalExecutor;
+use futures_lite::future::yield_now;
 use log::{debug, warn};
 use std::cell::{Cell, RefCell};
 use std::collections::VecDeque;
@@ -28,8 +29,13 @@
 const AGAIN: Duration = Duration::from_millis(10);
 /// Idle connections closed for new ones at one go.
 const AT_ONCE: usize = 16;
-/// Idle connections are not closed for others before that: a client that is late itself still means to use them.
+/// Idle connections are closed after that and not before, even for others: a client that is late itself still
+/// means to use them, but some clients ask once and keep their connection for good.
 const SPARED: Duration = Duration::from_millis(2_000);
+/// Of that, for a connection on which nothing was ever asked, where room is short.
+const UNPROVEN: f64 = 0.25;
+/// How long a client may take to its first whole command, and for each half-read one: 3 s are its due.
+const HALF: Duration = Duration::from_millis(2_500);
 /// How long a connection that lost its framing may take to read why.
 const LINGER: Duration = Duration::from_secs(1);
 /// No client waits longer than this.
@@ -149,8 +155,12 @@
     out: RefCell<VecDeque<u8>>,
     /// Booked for answers in `out`.
     owed: Cell<usize>,
+    /// Booked for what was read and is not a whole command yet.
+    half: Cell<usize>,
     room: Rc<Room>,
     used: Cell<Instant>,
+    /// A whole command came on it.
+    asked: Cell<bool>,
     gone: Cell<bool>,
     /// Its descriptor is wanted for others: it is closed if it is idle still when its task gets to it.
     unwanted: Cell<bool>,
@@ -159,12 +169,17 @@
     signal: Signal,
 }
 
-/// What all hits in work may hold in memory together: their commands, and a value for each.
+/// What all hits in work may hold in memory together: their commands, and a value for each. Half-read commands
+/// count too, but may take up only a part of it, so that they never keep hits out.
 pub struct Room {
     held: Cell<usize>,
+    half: Cell<usize>,
     most: usize,
 }
 
+/// Part of the room for half-read commands.
+const HALVES: usize = 4;
+
 impl Room {
     fn free(&self, cost: usize) {
         self.held.set(self.held.get().saturating_sub(cost));
@@ -215,7 +230,8 @@
         let stream = self.stream.borrow();
         let Some(stream) = stream.as_ref() else { return Ok(()) };
         let mut out = self.out.borrow_mut();
-        if !write_some(stream, &mut out, &mut 0)? {
+        // Looking whether there is something to write is no use of the connection.
+        if out.is_empty() || !write_some(stream, &mut out, &mut 0)? {
             return Ok(());
         }
         self.room.free(self.owed.take());
@@ -223,6 +239,17 @@
         Ok(())
     }
 
+    /// Books so many bytes of a half-read command.
+    fn holds(&self, bytes: usize) {
+        let before = self.half.replace(bytes);
+        self.room.half.set(self.room.half.get() + bytes - before);
+    }
+
+    /// Commands that have come on it.
+    fn commands(&self) -> u64 {
+        self.first.get() + self.slots.borrow().len() as u64
+    }
+
     /// All commands are answered and all answers written.
     fn done(&self) -> bool {
         self.slots.borrow().is_empty() && self.out.borrow().is_empty()
@@ -242,6 +269,7 @@
             Slot::Open(cost, _) | Slot::Answered(cost, _) => *cost,
         };
         self.room.free(self.slots.borrow().iter().map(cost).sum::<usize>() + self.owed.get());
+        self.holds(0);
     }
 }
 
@@ -263,7 +291,7 @@
             inbox,
             clock,
             names,
-            room: Rc::new(Room { held: Cell::new(0), most: memory }),
+            room: Rc::new(Room { held: Cell::new(0), half: Cell::new(0), most: memory }),
             most,
             open: RefCell::default(),
             count: Cell::new(0),
@@ -317,8 +345,10 @@
                 first: Cell::new(0),
                 out: RefCell::default(),
                 owed: Cell::new(0),
+                half: Cell::new(0),
                 room: self.room.clone(),
                 used: Cell::new(Instant::now()),
+                asked: Cell::new(false),
                 gone: Cell::new(false),
                 unwanted: Cell::new(false),
                 closing: Cell::new(false),
@@ -335,11 +365,12 @@
     /// Makes room for new connections.
     fn close_longest_idle(&self) {
         let open: Vec<_> = self.open.borrow().iter().filter_map(Weak::upgrade).collect();
-        let mut idle: Vec<_> = open.iter().filter(|c| !c.gone() && c.done()).collect();
-        idle.sort_by_key(|c| c.used.get());
         // A client whose fresh connection is closed opens the next one at once, for no gain.
-        let spared = |c: &&&Rc<Client>| c.used.get().elapsed() >= SPARED && c.idle();
-        for client in idle.iter().take(AT_ONCE).filter(spared) {
+        let patience = |c: &Client| if c.asked.get() { SPARED } else { SPARED.mul_f64(UNPROVEN) };
+        let unused = |c: &&Rc<Client>| c.used.get().elapsed() >= patience(c);
+        let mut idle: Vec<_> = open.iter().filter(|c| !c.gone() && c.done()).filter(unused).collect();
+        idle.sort_by_key(|c| c.used.get());
+        for client in idle.iter().take(AT_ONCE).filter(|c| c.idle()) {
             client.unwanted.set(true);
             client.signal.raise();
         }
@@ -353,11 +384,11 @@
             let _ = stream.get_ref().shutdown(Shutdown::Write);
             let until = Instant::now() + LINGER;
             while turn(&stream, true, false, &client.signal, Some(until)).await != Turn::Due {
-                let mut scratch = self.scratch.borrow_mut();
-                match read_some(&stream, &mut scratch) {
+                match read_some(&stream, &mut self.scratch.borrow_mut()) {
                     Ok(Some([])) | Err(_) => break,
                     _ => {}
                 }
+                yield_now().await;
             }
         }
         client.gone.set(true);
@@ -380,41 +411,65 @@
     ) -> Result<(), &'static str> {
         let mut held = Vec::new();
         let mut scanner = Scanner::new(BOUNDS);
-        let mut lost = None;
+        let (mut lost, mut begun) = (None, Instant::now());
         loop {
             if lost.is_none() && !held.is_empty() {
+                let before = client.commands();
                 lost = self.take_whole(client, &mut scanner, &mut held).err();
+                if client.commands() > before {
+                    client.asked.set(true);
+                    begun = Instant::now();
+                } else if self.has_room(client) && begun.elapsed() >= HALF {
+                    lost = lost.or(Some("command not ended in time"));
+                }
                 if let Some(why) = lost {
                     client.closing.set(true);
                     self.enter(client, Err(format!("protocol error: {why}")));
                     held = Vec::new();
                 }
             }
+            client.holds(held.len());
             if client.gone() || client.flush().is_err() {
                 return Ok(());
             }
             if let (Some(why), true) = (lost, client.done()) {
                 return Err(why);
             }
-            if (client.unwanted.take() || client.closing.get()) && held.is_empty() && client.idle() {
+            let idle_until = if client.asked.get() { client.used.get() + SPARED } else { begun + HALF };
+            let unwanted = client.unwanted.take() || client.closing.get() || idle_until <= Instant::now();
+            if unwanted && held.is_empty() && client.idle() {
                 return Ok(());
             }
-            let room = lost.is_none() && self.has_room(client);
-            let soon = (lost.is_none() && !room).then(|| Instant::now() + AGAIN);
+            let halves = held.is_empty() || self.room.half.get() < self.room.most / HALVES;
+            let room = lost.is_none() && halves && self.has_room(client);
+            let due = match (lost, room) {
+                (Some(_), _) => None,
+                (None, false) => Some(Instant::now() + AGAIN),
+                (None, true) if !held.is_empty() => Some(begun + HALF),
+                (None, true) if client.done() => Some(idle_until),
+                // The answer does not wake this task: it looks again for when the connection fell idle.
+                (None, true) => Some(Instant::now() + SPARED / 4),
+            };
             let write = !client.out.borrow().is_empty();
-            if turn(stream, room, write, &client.signal, soon).await == Turn::Readable {
-                let mut scratch = self.scratch.borrow_mut();
-                match read_some(stream, &mut scratch) {
+            if turn(stream, room, write, &client.signal, due).await == Turn::Readable {
+                match read_some(stream, &mut self.scratch.borrow_mut()) {
                     Ok(Some([])) | Err(_) => return Ok(()),
-                    Ok(Some(bytes)) => held.extend_from_slice(bytes),
+                    Ok(Some(bytes)) => {
+                        if held.is_empty() && client.asked.get() {
+                            begun = Instant::now();
+                        }
+                        held.extend_from_slice(bytes);
+                    }
                     Ok(None) => {}
                 }
+                // Who sends without end must not keep the others from their turn.
+                yield_now().await;
             }
         }
     }
 
     fn has_room(&self, client: &Client) -> bool {
-        self.room.held.get() < self.room.most
+        self.room.held.get() + self.room.half.get() < self.room.most
             && client.slots.borrow().len() < MOST_SLOTS
             && client.out.borrow().len() < MOST_UNSENT
     }
@@ -443,8 +498,12 @@
 
     /// Gives a command its place, and its answer if that is known.
     fn enter(&self, client: &Rc<Client>, request: Result<Request, String>) {
-        let place = client.first.get() + client.slots.borrow().len() as u64;
-        let cost = if let Ok(Request::Hit(command)) = &request { command.bytes.len() + VALUE } else { 0 };
+        let place = client.commands();
+        let cost = match &request {
+            Ok(Request::Hit(command)) => command.bytes.len() + VALUE,
+            Ok(Request::Other(answer)) => answer.len(),
+            Err(_) => 0,
+        };
         self.room.held.set(self.room.held.get() + cost);
         client.slots.borrow_mut().push_back(Slot::Open(cost, None));
         match request {
--- a/crates/marshal/src/core.rs
+++ b/crates/marshal/src/core.rs
@@ -55,7 +55,9 @@
     set: u64,
     hits: HashMap<u32, Open>,
     last_hit: u32,
+    /// Numbers of nodes by their listed ids, and numbers that are free again.
     ids: HashMap<String, usize>,
+    free: Vec<usize>,
     inbox: Rc<Inbox>,
     nodes: Nodes,
     discovery: Discovery,
@@ -68,7 +70,8 @@
     ) -> Self {
         let (due, hits, ids) = (BinaryHeap::new(), HashMap::new(), HashMap::new());
         let now = clock.now();
-        Doors { clock, now, due, set: 0, hits, last_hit: 0, ids, inbox, nodes, discovery, platform }
+        let free = Vec::new();
+        Doors { clock, now, due, set: 0, hits, last_hit: 0, ids, free, inbox, nodes, discovery, platform }
     }
 
     fn at(&mut self, time: Time, due: Due) {
@@ -82,8 +85,15 @@
 
     /// A node's small number, by its listed id.
     fn number(&mut self, id: String) -> usize {
-        let next = self.ids.len();
-        *self.ids.entry(id).or_insert(next)
+        let next = self.ids.len() + self.free.len();
+        *self.ids.entry(id).or_insert_with(|| self.free.pop().unwrap_or(next))
+    }
+
+    /// Looks after idle connections, and forgets nodes that are gone for long.
+    fn sweep(&mut self) {
+        let over = self.nodes.sweep();
+        self.ids.retain(|_, number| !over.contains(number));
+        self.free.extend(over);
     }
 
     /// Answers a hit, once.
@@ -216,7 +226,7 @@
                 Due::Token(token) => self.marshal.woken(&mut self.doors, now, token),
                 Due::Forward(hit, hop) => self.doors.give_up(hit, hop, Ending::WaitedOut),
                 Due::Sweep => {
-                    self.doors.nodes.sweep();
+                    self.doors.sweep();
                     debug!(
                         "{} hits open, {} taken so far, {} node connections",
                         self.doors.hits.len(),
--- a/crates/marshal/src/nodes.rs
+++ b/crates/marshal/src/nodes.rs
@@ -13,6 +13,7 @@
 use std::collections::VecDeque;
 use std::net::{SocketAddr, TcpStream};
 use std::rc::Rc;
+use std::time::{Duration, Instant};
 use stonescale::host::Readiness;
 use stonescale::time::{Span, Time};
 use stonescale_formats::resp::{Bounds, Kind, Scanner};
@@ -20,8 +21,9 @@
 const BOUNDS: Bounds = Bounds { parts: 8, bulk: VALUE, line: 1024, whole: VALUE + 4 * 1024 };
 /// Of the time in which a node closes an idle connection: by then the marshal has closed it itself.
 const RETIRE: f64 = 0.6;
-/// A connection used so lately is not looked at before it is used again.
-const FRESH: Span = Span::millis(20);
+/// A second copy or noise may follow an answer right behind. It must have come to be seen, or it would be taken
+/// for the answer to the next hit: so long a connection rests, and then it is looked at.
+const REST: Span = Span::millis(5);
 
 struct Flight {
     hit: u32,
@@ -54,6 +56,10 @@
         self.flights.borrow().is_empty()
     }
 
+    fn rested(&self, now: Time) -> bool {
+        self.idle() && now - self.used.get() >= REST
+    }
+
     fn finish(&self, ending: Ending) {
         self.retired.set(true);
         if self.end.get().is_none() {
@@ -95,6 +101,8 @@
 
 struct Stand {
     addr: SocketAddr,
+    /// When it was listed as gone, if it was.
+    gone: Option<Time>,
     links: Vec<Rc<Link>>,
 }
 
@@ -146,7 +154,8 @@
                 link.finish(Ending::Restarted);
             }
         }
-        self.stands[node] = Some(Stand { addr, links });
+        let gone = (readiness == Readiness::Gone).then(|| self.clock.now());
+        self.stands[node] = Some(Stand { addr, gone, links });
     }
 
     /// Lets what was written be answered; nothing else goes out on it.
@@ -161,6 +170,7 @@
     pub fn keep_only(&mut self, named: &[usize]) {
         for (at, stand) in self.stands.iter_mut().enumerate() {
             if let Some(stand) = stand.as_mut().filter(|_| !named.contains(&at)) {
+                stand.gone = stand.gone.or(Some(self.clock.now()));
                 stand.links.iter().for_each(|l| Self::leave(l, Ending::Withdrawn));
             }
         }
@@ -176,10 +186,10 @@
         stand.links.retain(|l| !l.retired.get());
         // The one used last is the least likely to be closed by the node at this moment.
         while let Some(link) =
-            stand.links.iter().filter(|l| l.idle() && !l.retired.get()).max_by_key(|l| l.used.get())
+            stand.links.iter().filter(|l| l.rested(now) && !l.retired.get()).max_by_key(|l| l.used.get())
         {
             let link = link.clone();
-            if now - link.used.get() < FRESH || link.sound() {
+            if link.sound() {
                 link.used.set(now);
                 link.queue(hit, hop, command, wait);
                 if let Err(ending) = link.flush() {
@@ -195,7 +205,7 @@
         // time comes up to a node.
         let coming = stand.links.iter().any(|l| !l.retired.get() && l.stream.borrow().is_none());
         if coming || self.open.get() >= self.most {
-            let shared = stand.links.iter().filter(|l| !l.retired.get());
+            let shared = stand.links.iter().filter(|l| !l.retired.get() && !l.idle());
             let shared = shared.filter(|l| l.flights.borrow().len() < self.multiplex);
             if let Some(link) = shared.min_by_key(|l| l.flights.borrow().len()).cloned() {
                 link.queue(hit, hop, command, wait);
@@ -229,6 +239,7 @@
             clock: self.clock,
             open: self.open.clone(),
             scratch: self.scratch.clone(),
+            part_within: duration(self.up_within),
         };
         self.tasks.spawn(carrier.run(addr, self.up_within)).detach();
         Ok(link)
@@ -251,8 +262,9 @@
         self.inbox.ended(hit, hop, ending, sent);
     }
 
-    /// Closes what has stood idle for long; the node would, and a hit might be lost on the way.
-    pub fn sweep(&mut self) {
+    /// Closes what has stood idle for long; the node would, and a hit might be lost on the way. Forgets nodes
+    /// that are gone for as long, and returns their numbers.
+    pub fn sweep(&mut self) -> Vec<usize> {
         let now = self.clock.now();
         for stand in self.stands.iter_mut().flatten() {
             stand.links.retain(|l| !l.retired.get());
@@ -260,6 +272,9 @@
                 link.finish(Ending::Idle);
             }
         }
+        let over = |s: &Stand| s.links.is_empty() && s.gone.is_some_and(|at| now - at >= self.idle);
+        let over = |(at, stand): (usize, &mut Option<Stand>)| stand.take_if(|stand| over(stand)).map(|_| at);
+        self.stands.iter_mut().enumerate().filter_map(over).collect()
     }
 }
 
@@ -270,6 +285,8 @@
     clock: Clock,
     open: Rc<Cell<usize>>,
     scratch: Rc<RefCell<Vec<u8>>>,
+    /// Within this the rest of an answer comes: as long as a connection may take to come up.
+    part_within: Duration,
 }
 
 impl Carrier {
@@ -317,6 +334,8 @@
         let Some(stream) = link.stream.borrow().clone() else { return Ending::Broken };
         let mut held = Vec::new();
         let mut scanner = Scanner::new(BOUNDS);
+        // When the answer began that is not whole yet.
+        let mut begun = None;
         loop {
             if let Some(ending) = link.end.get() {
                 return ending;
@@ -325,8 +344,12 @@
                 return ending;
             }
             let write = !link.out.borrow().is_empty();
-            if turn(&stream, true, write, &link.signal, None).await != Turn::Readable {
-                continue;
+            let due = begun.map(|at| at + self.part_within);
+            match turn(&stream, true, write, &link.signal, due).await {
+                Turn::Readable => {}
+                // A length that doesn't fit, or a line without an end: the rest will never come.
+                Turn::Due => return Ending::Garbled,
+                _ => continue,
             }
             {
                 let mut scratch = self.scratch.borrow_mut();
@@ -341,6 +364,7 @@
                 warn!("a node's answer was no answer: {why}");
                 return Ending::Garbled;
             }
+            begun = (!held.is_empty()).then(|| begun.unwrap_or_else(Instant::now));
             if link.retired.get() && link.idle() {
                 return Ending::Idle;
             }
--- a/crates/marshal/src/startup.rs
+++ b/crates/marshal/src/startup.rs
@@ -6,11 +6,13 @@
 use std::path::{Path, PathBuf};
 use stonescale_site::Told;
 
-/// Descriptors kept free for discovery, the platform, the log, and what the process itself needs.
-const RESERVED: usize = 64;
-/// Part of the other descriptors that is for clients. Each hit takes up one of theirs, but node connections
-/// can carry several forwards.
-const CLIENTS: f64 = 0.8;
+/// Part of the descriptors kept free for discovery and the platform (two each where they move), the log, and
+/// what the process itself needs; so many at least.
+const RESERVED: f64 = 1.0 / 16.0;
+const LEAST_RESERVED: usize = 16;
+/// Part of the other descriptors that is for clients. A hit takes up one of theirs and one to a node; an answer
+/// that never comes keeps the latter, and whatever shared it would wait as well.
+const CLIENTS: f64 = 0.6;
 /// Part of the memory limit that hits in work may hold.
 const HELD: usize = 2;
 
@@ -78,7 +80,8 @@
 pub fn limits(root: &Value) -> Result<(usize, usize, usize), String> {
     let limits = Told(Told(root, "").need("limits")?, "limits.");
     let (sockets, memory) = (limits.number("sockets")? as usize, limits.number("memory_mb")? as usize);
-    let free = sockets.saturating_sub(RESERVED);
+    let reserved = ((sockets as f64 * RESERVED) as usize).max(LEAST_RESERVED);
+    let free = sockets.saturating_sub(reserved);
     if free < 4 {
         return Err(format!("limits.sockets is too few: {sockets}"));
     } else if memory < 8 {
--- a/src/policy.rs
+++ b/src/policy.rs
@@ -46,6 +46,7 @@
 const BLAME_COST: f64 = 2.0; // target latencies
 const BLAME_COST_MUTATING: f64 = 6.0; // for a hit that can't run again
 const SILENT: f64 = 5.0; // expected answer times without an answer that make a node silent
+const UNLUCKY: f64 = 0.01; // so many forwards in a row must go unheard that chance is out of the question
 const PREFER: f64 = 1.2; // times the best other wait up to which the build on trial is preferred
 const LEAST_WORK: f64 = 0.2; // of the mean work: no hit counts as less
 const COLD_PUSH: f64 = 0.6; // of the multiple at which a cold node falls: what the marshal allows itself
@@ -58,7 +59,8 @@
 const EXTRA_SPAN: Span = Span::millis(1_500); // whose hits' part may go at once, when nodes are lost
 const TENANT_BURST: f64 = 20.0; // hits within a tenant's share at once
 const COPY_PRICE: f64 = 5.0; // of those, as the first one's work still runs
-const HELD: f64 = 0.5; // longest hold for room, by the target latency
+const HELD: f64 = 0.1; // longest hold for room, by the target latency
+const COME_BACK: f64 = 0.2; // of the target latency: then a bounced hit may still be answered in time
 const SHED: f64 = 0.8; // of the target latency: longest expected wait of the best hits
 const SHED_FROM: f64 = 0.4; // of that, for worthless ones
 const SHED_MOST: f64 = 0.95; // the few that go all the same show when the wait is over
@@ -84,7 +86,7 @@
     }
 
     /// Rule 2: may this hit be forwarded to a node at `place` now?
-    fn may_run(&self, hit: &Hit, place: Place, nodes: &[Node], now: Time) -> bool {
+    fn may_run(&self, hit: &Hit, place: Place, now: Time) -> bool {
         if hit.forwards.len() >= self.handling.forwards || (hit.out() && !self.handling.second_copies) {
             return false;
         }
@@ -92,16 +94,10 @@
         match self.groups[hit.group].effect {
             Effect::Repeatable => true,
             Effect::Mutating => risky.next().is_none(),
-            Effect::Tagged { scope, memory } => risky.all(|f| {
-                let was = nodes[f.node].place;
-                // One tick short: the forward takes effect when this batch is answered.
-                now + self.handling.tick < f.sent + memory
-                    && match scope {
-                        Scope::All => true,
-                        Scope::Zone => was.zone == place.zone,
-                        Scope::Cell => was.cell == place.cell,
-                    }
-            }),
+            // One tick short: the forward takes effect when this batch is answered.
+            Effect::Tagged { scope, memory } => {
+                risky.all(|f| now + self.handling.tick < f.sent + memory && scope.joins(f.place, place))
+            }
         }
     }
 
@@ -397,6 +393,7 @@
                 let another = before.is_none_or(|t| t.0 != build);
                 if another {
                     gate.record = Record::default();
+                    self.exposure.buckets.retain(|(of, _), _| *of >= build);
                 }
                 if another || !standing.open() {
                     self.exposure.answered.clear();
@@ -446,18 +443,17 @@
         let work = work.max(self.desk.work * LEAST_WORK);
         let ends = now + (grace - self.desk.handling.tick * 2.0);
         let luck = self.chance.random_range(0.0..1.0);
-        let hit = Hit::taken(id, group, key, now, ends, work, value, luck);
-        let slot = self.hits.enter(hit);
+        let slot = self.hits.enter(Hit::taken(id, group, key, now, ends, work, value, luck));
         host.wake(ends - now, Timer::Ends(id).token());
         // A burst is a part of the own traffic too: whole ones of many marshals would crowd the fleet.
         let burst = (EXTRA * self.fleet.rate * EXTRA_SPAN.seconds()).max(COPY_PRICE);
-        self.desk.extra = (self.desk.extra + EXTRA).min(burst);
+        self.desk.extra = (self.desk.extra + EXTRA + self.fleet.astray).min(burst);
         self.fleet.taken += 1.0;
         self.exposure.fill(group, |build| self.gate.trial(build).map(|t| t.1));
-        self.place(host, slot, Reason::First);
+        self.waiting.push(id);
+        self.use_room(host);
         let shed = self.hits[slot].state.ended();
         self.gate.shed += LEARN * LEARN * (f64::from(shed) - self.gate.shed);
-        self.use_room(host);
     }
 
     /// Cheapest first: dearer path groups follow as good outcomes come in, or as the build passes stages.
@@ -487,7 +483,7 @@
         let newest = self.gate.newest().filter(|_| self.gate.record.offered);
         for &at in &self.fleet.hand {
             let node = &self.fleet.nodes.rows[at];
-            if !self.desk.may_run(hit, node.place, &self.fleet.nodes.rows, now) {
+            if !self.desk.may_run(hit, node.place, now) {
                 continue;
             }
             let trial = self.gate.trial(node.build);
@@ -541,7 +537,8 @@
         let price = match reason {
             Reason::First => 0.0,
             Reason::Again => 1.0,
-            Reason::Copy => COPY_PRICE,
+            // Less the likelier it is that the first one's work is done, and its answer gone astray.
+            Reason::Copy => (COPY_PRICE * FLOOR / self.fleet.astray.max(FLOOR)).max(1.0),
         };
         let picked = if self.desk.extra < price { None } else { self.pick(slot, reason) };
         let hit = &self.hits[slot];
@@ -567,13 +564,14 @@
         if self.gate.trial(build).is_some() {
             *self.exposure.bucket(build, hit.group) -= 1.0;
         }
+        // The more answers go astray, the more in a row must be missing before it is the node.
+        let chance = UNLUCKY.ln() / self.fleet.astray.clamp(FLOOR, 0.5).ln();
         let node = &mut self.fleet.nodes.rows[at];
-        let held = f64::from(node.open);
-        node.open += 1;
-        if node.unheard.is_none() {
-            (node.unheard, node.due) = (Some(now), now + Span::of_seconds(wait * SILENT));
+        let held = node.sends(now);
+        if f64::from(node.since) >= chance && node.due == NEVER {
+            node.due = now + Span::of_seconds(wait * SILENT);
         }
-        let (id, kind) = (node.id, usize::from(node.place.kind));
+        let (id, place, kind) = (node.id, node.place, usize::from(node.place.kind));
         let hit = &mut self.hits[slot];
         host.forward(hit.id, id, hit.ends - now);
         if group.effect != Effect::Mutating && hit.forwards.len() + 1 < self.desk.handling.forwards {
@@ -581,7 +579,7 @@
             let patience = patience.max(hit.work * self.fleet.paces[kind]);
             host.wake(Span::of_seconds(patience), Timer::Copy(hit.id, hit.forwards.len() as u8).token());
         }
-        hit.forwards.push(Forward { node: at, build, sent: now, held, curious, fate: None });
+        hit.forwards.push(Forward { node: at, place, build, sent: now, held, curious, fate: None });
         self.shift(host, slot, State::Out);
     }
 
@@ -592,8 +590,9 @@
             return;
         }
         hit.state = to;
+        let soon = self.desk.groups[hit.group].target * COME_BACK;
         match to {
-            State::Bounced => host.bounce(hit.id, self.desk.handling.retry_in),
+            State::Bounced => host.bounce(hit.id, soon.min(self.desk.handling.retry_in)),
             State::Errored => host.error(hit.id),
             _ => {}
         }
@@ -611,11 +610,10 @@
         self.shift(host, slot, if lawful { State::Bounced } else { State::Errored });
     }
 
+    /// The most worthy go first: where room is short for long, it should not be those that are left over.
     fn use_room(&mut self, host: &mut impl Host) {
-        for id in std::mem::take(&mut self.waiting) {
-            if let Some(slot) = self.hits.find(id).filter(|slot| self.hits[*slot].state == State::Waiting) {
-                self.place(host, slot, Reason::First);
-            }
+        for slot in self.hits.waiting(std::mem::take(&mut self.waiting)) {
+            self.place(host, slot, Reason::First);
         }
     }
 
@@ -649,33 +647,38 @@
     }
 
     fn learn(&mut self, forward: &Forward, fate: Fate, latency: Span, work: f64) {
-        let now = self.now;
-        let fleet = &mut self.fleet;
+        let (now, fleet) = (self.now, &mut self.fleet);
         let node = &mut fleet.nodes.rows[forward.node];
-        node.open = node.open.saturating_sub(1);
-        if matches!(fate, Fate::Ok | Fate::Error | Fate::Rejected) {
-            node.unheard = (node.open > 0).then_some(now);
-            node.due = now + latency.max(Span::of_seconds(work * node.pace)) * SILENT;
+        if !node.hears(now, forward, matches!(fate, Fate::Ok | Fate::Error | Fate::Rejected)) {
+            return; // it was another process
         }
         let pace = latency.seconds() / work;
-        let took_longer = matches!(fate, Fate::Cancelled | Fate::TimedOut) && pace > node.pace;
-        if fate == Fate::Ok || took_longer {
-            // By work, so that light hits, whose ratios scatter most, count least.
-            let weight = LEARN * (work / self.desk.work).min(2.0);
+        // Where later forwards were answered, this answer went astray: that says nothing of the node's pace.
+        let lost = matches!(fate, Fate::Cancelled | Fate::TimedOut) && pace > node.pace;
+        let astray = lost && node.answered > forward.sent;
+        // By work, so that light hits, whose ratios scatter most, count least.
+        let weight = LEARN * (work / self.desk.work).min(2.0);
+        if fate == Fate::Ok || (lost && !astray) {
             // A loss tells little of the pace: the answer may have gone astray.
             let bound = if fate == Fate::Ok { 10.0 } else { 3.0 };
             node.pace += weight * (pace.min(node.pace * bound) - node.pace);
             node.usual += LEARN * (forward.held - node.usual);
             node.timed = now;
+        }
+        if fate == Fate::Ok || astray {
+            fleet.astray += LEARN.powi(2) * (f64::from(astray) - fleet.astray);
+        }
+        if fate == Fate::Ok {
+            // Answers only: were losses to count, a fleet that stands idle would pass for a slow one.
             let usual = &mut fleet.paces[usize::from(node.place.kind)];
-            *usual += FLEET_LEARN * weight * (pace.min(*usual * bound) - *usual);
+            *usual += FLEET_LEARN * weight * (pace.min(*usual * 10.0) - *usual);
         }
         let blame = node.blame * fade(now - node.blamed);
         node.blame = match fate {
             Fate::Ok => blame * (1.0 - BLAME),
             Fate::Unreached => 1.0,
-            Fate::Error | Fate::Rejected | Fate::Reset | Fate::TimedOut => blame + BLAME * (1.0 - blame),
-            Fate::Cancelled | Fate::Unsent => blame,
+            Fate::Cancelled | Fate::Unsent if !astray => blame,
+            _ => blame + BLAME * (1.0 - blame),
         };
         node.blamed = now;
     }
@@ -731,8 +734,8 @@
             Timer::Copy(id, hop) => {
                 let Some(slot) = self.hits.find(id) else { return };
                 let hit = &self.hits[slot];
-                let out = hit.forwards.get(usize::from(hop)).is_some_and(|f| f.fate.is_none());
-                let out = out && !hit.state.ended();
+                let forward = hit.forwards.get(usize::from(hop)).filter(|_| !hit.state.ended());
+                let out = forward.is_some_and(|f| f.fate.is_none());
                 if out && self.desk.handling.second_copies {
                     self.place(host, slot, Reason::Copy);
                 } else if out && self.desk.handling.cancelling {
@@ -750,8 +753,7 @@
         self.gate.sums.forget(now - WINDOW);
         if let Some((build, _, standing, ..)) = self.gate.told {
             let drag = self.dragging().then(|| "the whole fleet slowed down".into());
-            let wrong = self.gate.record.odds >= CONVICT;
-            let wrong = wrong.then(|| "answers reported wrong".into());
+            let wrong = (self.gate.record.odds >= CONVICT).then(|| "answers reported wrong".into());
             let why = self.gate.judge(build, &self.fleet.nodes, now).or(wrong).or(drag);
             if let (true, Some(why)) = (standing.open() && self.gate.record.offered, why) {
                 if now >= self.gate.record.back_until {
@@ -779,17 +781,15 @@
         let fit = |at: &&usize| !nodes.rows[**at].silent(self.now) && nodes.rows[**at].blame < BLAME;
         let fit = self.fleet.hand.iter().filter(fit).count() as f64 / self.fleet.hand.len().max(1) as f64;
         let load = self.fleet.rate * self.desk.work / (fit * nodes.ready().count() as f64).max(1.0);
-        let light = self.fleet.rate * (WINDOW * LATELY).seconds() < ENOUGH;
-        let span = if light { WINDOW } else { WINDOW * LATELY };
+        let span =
+            if self.fleet.rate * (WINDOW * LATELY).seconds() < ENOUGH { WINDOW } else { WINDOW * LATELY };
         gate.answers.retain(|a| self.now - a.0 < span);
         let (met, newest) = (gate.answers.len() as f64, gate.newest());
         if met < ENOUGH / KEPT_WINDOWS {
             gate.record.course.clear();
             return false;
         }
-        let mut paces: Vec<f64> = gate.answers.iter().map(|a| a.1).collect();
-        paces.sort_by(f64::total_cmp);
-        let pace = paces[paces.len() / QUICKER] / (1.0 - gate.shed).max(FLOOR);
+        let pace = gate.quicker(QUICKER) / (1.0 - gate.shed).max(FLOOR);
         let mix = gate.answers.iter().filter(|a| Some(a.2) == newest).count() as f64 / met;
         gate.record.course.push_back((mix, pace, load));
         if gate.record.course.len() > (1.0 / LOOK) as usize {
--- a/src/state.rs
+++ b/src/state.rs
@@ -31,6 +31,9 @@
 /// Listed start of nodes that started a long time back.
 pub const LONG_AGO: Time = Time::at(0);
 
+/// A point in time that is not to come.
+pub const NEVER: Time = Time::at(u64::MAX);
+
 /// What a timer is for, as the token that comes back with it.
 pub enum Timer {
     Look,
@@ -73,6 +76,7 @@
 #[derive(Clone, Copy)]
 pub struct Forward {
     pub node: usize,
+    pub place: Place,
     pub build: u16,
     pub sent: Time,
     /// Own forwards that the node held then.
@@ -134,9 +138,12 @@
     /// Recent failures, 0 to 1, as of `blamed`.
     pub blame: f64,
     pub blamed: Time,
-    /// Sending time of the first forward since the node was last heard.
+    /// Sending time of the first forward since the node was last heard, and how many were sent since.
     pub unheard: Option<Time>,
-    /// From when on that counts as silence.
+    pub since: u32,
+    /// Sending time of the newest forward that it answered.
+    pub answered: Time,
+    /// From when on that counts as silence; not yet while too few were sent.
     pub due: Time,
     /// When it was last tried in spite of its blame.
     pub tried: Time,
@@ -151,6 +158,28 @@
         self.unheard.is_some() && now > self.due
     }
 
+    /// Books a forward to it; returns how many it held.
+    pub fn sends(&mut self, now: Time) -> f64 {
+        let held = f64::from(self.open);
+        (self.open, self.since) = (self.open + 1, self.since + 1);
+        self.unheard = self.unheard.or(Some(now));
+        held
+    }
+
+    /// Books the end of a forward, and whether it was a word of the node; false where the process that the
+    /// forward went to is gone.
+    pub fn hears(&mut self, now: Time, forward: &Forward, word: bool) -> bool {
+        self.open = self.open.saturating_sub(1);
+        if forward.sent < self.started || forward.build != self.build {
+            return false;
+        }
+        if word {
+            (self.unheard, self.since, self.due) = ((self.open > 0).then_some(now), 0, NEVER);
+            self.answered = self.answered.max(forward.sent);
+        }
+        true
+    }
+
     /// Time since its listed start; without end if that was a long time back.
     pub fn age(&self, at: Time) -> Span {
         if self.started == LONG_AGO { Span::nanos(u64::MAX) } else { at - self.started }
@@ -158,9 +187,9 @@
 
     /// A node of which nothing is known yet but its listing, and the pace and load of others.
     pub fn listed(id: u64, place: Place, readiness: Readiness, build: u16, started: Time) -> Self {
-        let (blamed, tried, due) = (Time::default(), Time::default(), Time::default());
+        let (blamed, tried, answered) = (Time::default(), Time::default(), Time::default());
         let (pace, usual, part, start) = (1.0, 0.0, 0.0, 0.0);
-        let (open, blame, unheard) = (0, 0.0, None);
+        let (open, blame, unheard, since, due) = (0, 0.0, None, 0, NEVER);
         Node {
             id,
             place,
@@ -174,6 +203,8 @@
             blame,
             blamed,
             unheard,
+            since,
+            answered,
             due,
             tried,
             part,
@@ -210,7 +241,8 @@
         self.mentioned = full.then(|| vec![false; self.rows.len()]);
     }
 
-    /// Puts down one entry. A new process under an old id starts afresh, but for forwards still out.
+    /// Puts down one entry. A new process under an old id, or one that comes back, starts afresh, but for
+    /// forwards still out.
     pub fn entry(&mut self, fresh: Node) {
         let at = self.named.enter(fresh.id);
         if let Some(mentioned) = &mut self.mentioned {
@@ -219,20 +251,28 @@
         }
         match self.rows.get_mut(at) {
             None => self.rows.push(fresh),
-            Some(node) if (node.started, node.build) != (fresh.started, fresh.build) => {
+            Some(node)
+                if node.readiness == Readiness::Gone
+                    || (node.started, node.build) != (fresh.started, fresh.build) =>
+            {
                 *node = Node { open: node.open, ..fresh };
             }
             Some(node) => (node.readiness, node.place) = (fresh.readiness, fresh.place),
         }
     }
 
-    /// Ends a list; what a full one left out is gone.
+    /// Ends a list; what a full one left out is gone. Gone nodes are forgotten once all is home.
     pub fn closes(&mut self) {
         for (at, named) in self.mentioned.take().into_iter().flatten().enumerate() {
             if !named {
                 self.rows[at].readiness = Readiness::Gone;
             }
         }
+        for (at, node) in self.rows.iter().enumerate() {
+            if node.readiness == Readiness::Gone && node.open == 0 && self.named.find(node.id) == Some(at) {
+                self.named.leave(node.id);
+            }
+        }
     }
 }
 
@@ -258,6 +298,14 @@
         self.taken.find(id)
     }
 
+    /// Those of the hits that wait still, the most worthy first.
+    pub fn waiting(&self, ids: Vec<u32>) -> Vec<usize> {
+        let waits = |slot: &usize| self.rows[*slot].state == State::Waiting;
+        let mut slots: Vec<_> = ids.into_iter().filter_map(|id| self.find(id)).filter(waits).collect();
+        slots.sort_by(|a, b| self.rows[*b].value.total_cmp(&self.rows[*a].value));
+        slots
+    }
+
     /// Frees an ended hit once all its forwards have come home.
     pub fn release(&mut self, slot: usize) {
         if self.rows[slot].state.ended() && !self.rows[slot].out() {
@@ -347,6 +395,15 @@
     pub pending: bool,
 }
 
+impl Gate {
+    /// Pace of the answer that stands at one part in so many, quickest first.
+    pub fn quicker(&self, parts: usize) -> f64 {
+        let mut paces: Vec<f64> = self.answers.iter().map(|a| a.1).collect();
+        paces.sort_by(f64::total_cmp);
+        paces[paces.len() / parts]
+    }
+}
+
 /// The nodes as last listed, and what cold ones may be sent.
 #[derive(Default)]
 pub struct Fleet {
@@ -354,6 +411,8 @@
     pub warm_up: WarmUp,
     pub nodes: Nodes,
     pub waits: Span,
+    /// Share of answers that go astray: later forwards to the same node are answered first.
+    pub astray: f64,
     /// Usual pace of a node by its kind.
     pub paces: Vec<f64>,
     /// The nodes in use, and how many of a kind that may be.
--- a/src/terms.rs
+++ b/src/terms.rs
@@ -1,6 +1,7 @@
 //! What a marshal is told at its start, a few figures for each part of the module. Only carried here:
 //! what follows from them is decided in `policy`.
 
+use crate::host::Place;
 use crate::time::Span;
 
 /// The group of nodes that drops repeats of a tagged hit.
@@ -11,6 +12,17 @@
     Cell,
 }
 
+impl Scope {
+    /// Do the two places belong to one group?
+    pub fn joins(self, one: Place, other: Place) -> bool {
+        match self {
+            Scope::All => true,
+            Scope::Zone => one.zone == other.zone,
+            Scope::Cell => one.cell == other.cell,
+        }
+    }
+}
+
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Effect {
     Repeatable,
--- a/tests/stories.rs
+++ b/tests/stories.rs
@@ -5,8 +5,9 @@
 use fake::*;
 use rstest::rstest;
 use stonescale::host::*;
+use stonescale::state::{Node, Nodes};
 use stonescale::terms::*;
-use stonescale::time::Span;
+use stonescale::time::{Span, Time};
 
 const OLD: u16 = 4;
 const NEW: u16 = 5;
@@ -474,6 +475,90 @@
     assert!(s.traffic(2000, READ, fine).contains(&3));
 }
 
+#[rstest]
+fn answers_that_go_astray_make_neither_silent_nor_slow_nodes() {
+    // Nodes passed for silent and the fleet for slow: hits were shed while most of it stood idle.
+    let mut s = fleet(6);
+    s.traffic(200, READ, fine);
+    let (mut sent, mut bounced, mut used) = (Vec::new(), 0, [0; 6]);
+    for _ in 0..1500 {
+        s.take(READ);
+        s.pass(Span::millis(10));
+        for call in std::mem::take(&mut s.book.calls) {
+            match call {
+                Call::Forward(hit, node) => {
+                    used[node as usize] += 1;
+                    let hop = sent.iter().filter(|f: &&(u32, u8, Time)| f.0 == hit).count() as u8;
+                    sent.push((hit, hop, s.now));
+                }
+                Call::Cancel(hit, hop) => s.end(hit, hop, Fate::Cancelled, 400),
+                Call::Bounce(_) => bounced += 1,
+                _ => {}
+            }
+        }
+        // Every third answer is lost.
+        let now = s.now;
+        let due = sent.iter().enumerate().filter(|(at, f)| at % 3 > 0 && now - f.2 == Span::millis(60));
+        for (_, (hit, hop, _)) in due.map(|(at, f)| (at, *f)).collect::<Vec<_>>() {
+            s.end(hit, hop, Fate::Ok, 60);
+        }
+    }
+    assert!(bounced < 300 && used.iter().all(|n| *n > 200), "{bounced} bounced, {used:?}");
+}
+
+#[rstest]
+fn what_an_earlier_process_lost_is_not_held_against_the_one_that_came_back() {
+    let mut site = site();
+    site.warm_up.span = Span::millis(10);
+    let mut s = fleet_of(site, 2);
+    let hits: Vec<u32> = (0..40).map(|_| s.take(BOOK)).collect();
+    s.pass(Span::millis(20));
+    s.list(&[(1, OLD, Readiness::Ready)], Some(Span::millis(10)));
+    let to_the_earlier: Vec<u32> = hits.into_iter().filter(|h| s.went(*h) == [1]).collect();
+    assert!(to_the_earlier.len() >= 3, "{to_the_earlier:?}");
+    to_the_earlier.into_iter().for_each(|h| s.end(h, 0, Fate::Reset, 20));
+    s.pass(SECOND * 0.1);
+    assert!(s.traffic(20, BOOK, fine).iter().filter(|n| **n == 1).count() >= 5);
+}
+
+#[rstest]
+fn nodes_that_are_gone_are_forgotten_and_their_ids_may_come_back() {
+    let mut nodes = Nodes::default();
+    let list = |nodes: &mut Nodes, id: u64, ready| {
+        nodes.opens(false);
+        nodes.entry(Node::listed(id, Place::default(), ready, OLD, Time::at(0)));
+        nodes.closes();
+    };
+    for id in 0..1000 {
+        list(&mut nodes, id, Readiness::Ready);
+        list(&mut nodes, id, Readiness::Gone);
+        list(&mut nodes, id / 2, Readiness::Ready);
+        list(&mut nodes, id / 2, Readiness::Gone);
+    }
+    list(&mut nodes, 7, Readiness::Ready);
+    assert!(nodes.rows.len() <= 2 && nodes.ready().map(|n| n.id).eq([7]), "{} rows", nodes.rows.len());
+}
+
+#[rstest]
+fn where_room_is_short_the_most_worthy_hits_get_it_and_the_others_may_come_back_in_time() {
+    // A platform that fell silent at half the way: all nodes are of the build on trial.
+    let mut s = fleet(4);
+    s.traffic(100, BOOK, fine);
+    s.stage(NEW, 1, Standing::OnTrial, 0.5);
+    s.ready(0..4, NEW);
+    let (mut dear, mut cheap) = (0, 0);
+    for _ in 0..200 {
+        let (one, other) = (s.take(READ), s.take(BOOK));
+        s.pass(Span::millis(10));
+        for (hit, went) in [(one, &mut cheap), (other, &mut dear)] {
+            *went += s.went(hit).len();
+            (0..s.went(hit).len()).for_each(|hop| s.end(hit, hop as u8, Fate::Ok, 10));
+        }
+    }
+    assert!(dear >= 150 && cheap <= 50, "{dear} dear and {cheap} cheap ones");
+    assert!(s.book.retries.iter().all(|wait| *wait <= Span::millis(100)), "a quarter of the target latency");
+}
+
 #[rstest]
 fn second_copies_stay_within_their_budget() {
     let mut s = fleet(8);
