--- a/crates/marshal/src/discovery.rs
+++ b/crates/marshal/src/discovery.rs
@@ -22,7 +22,7 @@
 const SILENCE: Duration = Duration::from_millis(4_000);
 const UP_WITHIN: Duration = Duration::from_millis(1_000);
 /// Longest line: a list of thousands of nodes.
-const LINE: usize = 4 << 20;
+const LINE: usize = 1 << 20;
 
 pub struct Discovery {
     addr: Cell<SocketAddr>,
