--- a/crates/marshal/src/clients.rs
+++ b/crates/marshal/src/clients.rs
@@ -29,11 +29,11 @@
 const AGAIN: Duration = Duration::from_millis(10);
 /// Idle connections closed for new ones at one go.
 const AT_ONCE: usize = 16;
-/// Idle connections are closed after that and not before, even for others: a client that is late itself still
-/// means to use them, but some clients ask once and keep their connection for good.
+/// Idle connections are closed after that: some clients ask once and keep their connection for good.
 const SPARED: Duration = Duration::from_millis(2_000);
-/// Of that, for a connection on which nothing was ever asked, where room is short.
-const UNPROVEN: f64 = 0.25;
+/// Of that, where there is no room for others: a client that is late itself still means to use its connection, but
+/// were all spared for long, those who wait to be taken would give up first, and then be taken for nothing.
+const PRESSED: f64 = 0.1;
 /// How long a client may take to its first whole command, and for each half-read one: 3 s are its due.
 const HALF: Duration = Duration::from_millis(2_500);
 /// How long a connection that lost its framing may take to read why.
@@ -280,19 +280,24 @@
     names: Names,
     room: Rc<Room>,
     most: usize,
+    /// Connections that asked, past which idle ones make room for others.
+    crowd: usize,
     open: RefCell<Vec<Weak<Client>>>,
     count: Cell<usize>,
     scratch: RefCell<Vec<u8>>,
 }
 
 impl Clients {
-    pub fn new(inbox: Rc<Inbox>, clock: Clock, names: Names, most: usize, memory: usize) -> Rc<Self> {
+    pub fn new(
+        inbox: Rc<Inbox>, clock: Clock, names: Names, (most, crowd): (usize, usize), memory: usize,
+    ) -> Rc<Self> {
         Rc::new(Clients {
             inbox,
             clock,
             names,
             room: Rc::new(Room { held: Cell::new(0), half: Cell::new(0), most: memory }),
             most,
+            crowd,
             open: RefCell::default(),
             count: Cell::new(0),
             scratch: RefCell::new(vec![0; VALUE]),
@@ -316,7 +321,7 @@
         let mut short = false;
         loop {
             if self.count.get() >= self.most {
-                self.close_longest_idle();
+                self.close_longest_idle(AT_ONCE);
                 Timer::after(AGAIN).await;
                 continue;
             }
@@ -333,7 +338,7 @@
                     if !std::mem::replace(&mut short, true) {
                         warn!("taking a connection failed, trying on: {e}");
                     }
-                    self.close_longest_idle();
+                    self.close_longest_idle(AT_ONCE);
                     Timer::after(AGAIN).await;
                     continue;
                 }
@@ -355,22 +360,24 @@
                 signal: Signal::default(),
             });
             self.count.set(self.count.get() + 1);
-            let mut open = self.open.borrow_mut();
-            open.retain(|c| c.strong_count() > 0);
-            open.push(Rc::downgrade(&client));
+            self.open.borrow_mut().retain(|c| c.strong_count() > 0);
+            let asked = |c: &Weak<Client>| c.upgrade().is_some_and(|c| c.asked.get() && !c.gone());
+            let asked = self.open.borrow().iter().filter(|c| asked(c)).count();
+            // Clients hold only so many: with all of those left idle, the next hit finds none.
+            self.close_longest_idle(asked.saturating_sub(self.crowd).min(AT_ONCE));
+            self.open.borrow_mut().push(Rc::downgrade(&client));
             tasks.spawn(self.clone().serve(client)).detach();
         }
     }
 
-    /// Makes room for new connections.
-    fn close_longest_idle(&self) {
+    /// Makes room for new connections: closes so many at most.
+    fn close_longest_idle(&self, most: usize) {
         let open: Vec<_> = self.open.borrow().iter().filter_map(Weak::upgrade).collect();
         // A client whose fresh connection is closed opens the next one at once, for no gain.
-        let patience = |c: &Client| if c.asked.get() { SPARED } else { SPARED.mul_f64(UNPROVEN) };
-        let unused = |c: &&Rc<Client>| c.used.get().elapsed() >= patience(c);
+        let unused = |c: &&Rc<Client>| c.used.get().elapsed() >= SPARED.mul_f64(PRESSED);
         let mut idle: Vec<_> = open.iter().filter(|c| !c.gone() && c.done()).filter(unused).collect();
         idle.sort_by_key(|c| c.used.get());
-        for client in idle.iter().take(AT_ONCE).filter(|c| c.idle()) {
+        for client in idle.iter().take(most).filter(|c| c.idle()) {
             client.unwanted.set(true);
             client.signal.raise();
         }
--- a/crates/marshal/src/serve.rs
+++ b/crates/marshal/src/serve.rs
@@ -31,7 +31,7 @@
 pub fn check(root: &Value) -> Result<String, String> {
     let (name, listen, discovery) = startup::identity(root)?;
     startup::seed(root)?;
-    let (clients, links, held) = startup::limits(root)?;
+    let ((clients, _), links, held) = startup::limits(root)?;
     let (platform, news) = startup::platform(root)?;
     platform::stage(news).map_err(|e| format!("platform.news: {e}"))?;
     let settings = startup::settings(root)?;
--- a/crates/marshal/src/startup.rs
+++ b/crates/marshal/src/startup.rs
@@ -13,6 +13,9 @@
 /// Part of the other descriptors that is for clients. A hit takes up one of theirs and one to a node; an answer
 /// that never comes keeps the latter, and whatever shared it would wait as well.
 const CLIENTS: f64 = 0.6;
+/// For hits, clients hold a third of the descriptors at most, by the service page; half of that is a
+/// crowd, among which idle connections make room.
+const CROWD: f64 = 1.0 / 6.0;
 /// Part of the memory limit that hits in work may hold.
 const HELD: usize = 2;
 
@@ -76,8 +79,9 @@
         .map_err(|_| format!("seed is not a number of up to 16 hex digits: '{text}'"))
 }
 
-/// Most client connections, most node connections, and most bytes that hits in work may hold.
-pub fn limits(root: &Value) -> Result<(usize, usize, usize), String> {
+/// Most client connections and what is a crowd of them, most node connections, and most bytes that hits in work
+/// may hold.
+pub fn limits(root: &Value) -> Result<((usize, usize), usize, usize), String> {
     let limits = Told(Told(root, "").need("limits")?, "limits.");
     let (sockets, memory) = (limits.number("sockets")? as usize, limits.number("memory_mb")? as usize);
     let reserved = ((sockets as f64 * RESERVED) as usize).max(LEAST_RESERVED);
@@ -88,7 +92,8 @@
         return Err(format!("limits.memory_mb is too little: {memory}"));
     }
     let clients = (free as f64 * CLIENTS) as usize;
-    Ok((clients, free - clients, memory * 1024 * 1024 / HELD))
+    let crowd = (sockets as f64 * CROWD) as usize;
+    Ok(((clients, crowd), free - clients, memory * 1024 * 1024 / HELD))
 }
 
 /// The platform's address, and the state of the newest build.
--- a/crates/marshal/tests/sockets.rs
+++ b/crates/marshal/tests/sockets.rs
@@ -413,6 +413,25 @@
     assert_eq!(client.answer(), "", "its descriptor is for others");
 }
 
+#[rstest]
+fn in_a_crowd_the_longest_idle_client_makes_room_before_its_time() {
+    let (addr, _told) = node(Act::Say(VALUE));
+    let few = |config: &mut Value| config["limits"]["sockets"] = json!(80);
+    let marshal = Marshal::start_with(&[addr], few);
+    let start = Instant::now();
+    let mut ask = || {
+        let mut client = marshal.client();
+        assert_eq!(client.ask(), SERVED);
+        client
+    };
+    let mut clients: Vec<_> = (0..20).map(|_| ask()).collect();
+    thread::sleep(Duration::from_millis(600));
+    clients.push(ask());
+    assert_eq!(clients[0].answer(), "");
+    assert!(start.elapsed() < Duration::from_millis(1_900), "{:?}", start.elapsed());
+    assert_eq!(clients[19].ask(), SERVED, "those used last stay");
+}
+
 #[rstest]
 fn who_sends_without_end_does_not_keep_the_others_from_their_turn() {
     let (addr, _told) = node(Act::Say(VALUE));
