--- a/crates/marshal/tests/sockets.rs
+++ b/crates/marshal/tests/sockets.rs
@@ -419,7 +419,7 @@
     let few = |config: &mut Value| config["limits"]["sockets"] = json!(80);
     let marshal = Marshal::start_with(&[addr], few);
     let start = Instant::now();
-    let mut ask = || {
+    let ask = || {
         let mut client = marshal.client();
         assert_eq!(client.ask(), SERVED);
         client
