--- a/crates/marshal/src/clients.rs
+++ b/crates/marshal/src/clients.rs
@@ -364,7 +364,10 @@
             let asked = |c: &Weak<Client>| c.upgrade().is_some_and(|c| c.asked.get() && !c.gone());
             let asked = self.open.borrow().iter().filter(|c| asked(c)).count();
             // Clients hold only so many: with all of those left idle, the next hit finds none.
-            self.close_longest_idle(asked.saturating_sub(self.crowd).min(AT_ONCE));
+            let excess = asked.saturating_sub(self.crowd).min(AT_ONCE);
+            if excess > 0 {
+                self.close_longest_idle(excess);
+            }
             self.open.borrow_mut().push(Rc::downgrade(&client));
             tasks.spawn(self.clone().serve(client)).detach();
         }
@@ -374,7 +377,9 @@
     fn close_longest_idle(&self, most: usize) {
         let open: Vec<_> = self.open.borrow().iter().filter_map(Weak::upgrade).collect();
         // A client whose fresh connection is closed opens the next one at once, for no gain.
-        let unused = |c: &&Rc<Client>| c.used.get().elapsed() >= SPARED.mul_f64(PRESSED);
+        // Who asked more than once will ask again: closing that would only bring the next connection.
+        let patience = |c: &Client| if c.commands() > 1 { SPARED } else { SPARED.mul_f64(PRESSED) };
+        let unused = |c: &&Rc<Client>| c.used.get().elapsed() >= patience(c);
         let mut idle: Vec<_> = open.iter().filter(|c| !c.gone() && c.done()).filter(unused).collect();
         idle.sort_by_key(|c| c.used.get());
         for client in idle.iter().take(most).filter(|c| c.idle()) {
