--- a/src/policy.rs
+++ b/src/policy.rs
@@ -658,9 +658,9 @@
         let astray = lost && node.answered > forward.sent;
         // By work, so that light hits, whose ratios scatter most, count least.
         let weight = LEARN * (work / self.desk.work).min(2.0);
+        // A loss tells little of the pace: the answer may have gone astray.
+        let bound = if fate == Fate::Ok { 10.0 } else { 3.0 };
         if fate == Fate::Ok || (lost && !astray) {
-            // A loss tells little of the pace: the answer may have gone astray.
-            let bound = if fate == Fate::Ok { 10.0 } else { 3.0 };
             node.pace += weight * (pace.min(node.pace * bound) - node.pace);
             node.usual += LEARN * (forward.held - node.usual);
             node.timed = now;
@@ -671,7 +671,7 @@
         if fate == Fate::Ok {
             // Answers only: were losses to count, a fleet that stands idle would pass for a slow one.
             let usual = &mut fleet.paces[usize::from(node.place.kind)];
-            *usual += FLEET_LEARN * weight * (pace.min(*usual * 10.0) - *usual);
+            *usual += FLEET_LEARN * weight * (pace.min(*usual * bound) - *usual);
         }
         let blame = node.blame * fade(now - node.blamed);
         node.blame = match fate {
