--- a/crates/budget/src/plan.rs
+++ b/crates/budget/src/plan.rs
@@ -1,6 +1,7 @@
 //! Caps and reserves by purpose, computed at the start from the limits of the process. What can't be kept is refused
 //! there, with the figure that is missing.
 
+use crate::buffer::LEAST;
 use crate::pool::Account;
 use crate::purpose::{FIXED, MOST_GROUPS, Purpose};
 use std::fmt;
@@ -15,10 +16,10 @@
 /// buffer stands beside its larger copy.
 const SLACK: usize = 8;
 
-/// A client's connection, with its task and its places in the reactor; a node's alike. Resident size of 500 more of
-/// each, divided (docs/results-memory.md), rounded up.
-pub const CLIENT: usize = 2 * KIB;
-pub const LINK: usize = 2 * KIB;
+/// A client's connection, with its task, its places in the reactor and a small buffer; a node's alike. Resident size
+/// of 500 more of each, divided (docs/results-memory.md), rounded up.
+pub const CLIENT: usize = 2 * KIB + LEAST;
+pub const LINK: usize = 2 * KIB + LEAST;
 /// A hit in work, besides its command: its record here and in the core, with three forwards.
 pub const HIT: usize = KIB;
 /// The timers of one hit: its end, and two for each of three forwards.
--- a/crates/budget/src/victims.rs
+++ b/crates/budget/src/victims.rs
@@ -10,6 +10,8 @@
     pub owed: usize,
     /// When it last took or sent anything.
     pub moved: Time,
+    /// When it was taken.
+    pub taken: Time,
     /// Commands that came on it.
     pub asked: u64,
     /// Hits in work or not answered yet.
@@ -33,9 +35,9 @@
     (0..clients.len()).filter(|at| fit(&clients[*at])).collect()
 }
 
-/// Idle connections to be closed, `most` at most, the longest idle first. Who asked once is spared for `once` only:
-/// some clients ask once and keep their connection for good, while those that asked more will ask again, and closing
-/// theirs would only bring the next connection.
+/// Idle connections to be closed, `most` at most, the longest idle first. Who asked more than once is spared for longer:
+/// it will ask again, and closing it would only bring the next connection, while some clients ask once and keep their
+/// connection for good. Who has said nothing yet counts as one that asked once.
 pub fn idle(clients: &[Client], now: Time, (spared, once): (Span, Span), most: usize) -> Vec<usize> {
     let patience = |c: &Client| if c.asked > 1 { spared } else { once };
     let mut found = places(clients, |c| c.idle() && c.still(now) >= patience(c));
@@ -59,10 +61,11 @@
 }
 
 /// Connections to be closed once they are answered, so that those who wait to be taken have their turn: `most` at most,
-/// those that asked most first. For when all connections are in use and none is idle.
-pub fn rotate(clients: &[Client], most: usize) -> Vec<usize> {
-    let mut found = places(clients, |c| c.asked > 1 && !c.leaving);
-    found.sort_by_key(|at| std::cmp::Reverse(clients[*at].asked));
+/// those that were here longest first, each for a `tenure` at least. For when all are in use and none is idle: a flood
+/// that fills every connection would otherwise keep all others out for as long as it lasts.
+pub fn rotate(clients: &[Client], now: Time, tenure: Span, most: usize) -> Vec<usize> {
+    let mut found = places(clients, |c| c.asked > 0 && !c.leaving && now - c.taken >= tenure);
+    found.sort_by_key(|at| clients[*at].taken);
     found.truncate(most);
     found
 }
--- a/crates/budget/tests/ledger.rs
+++ b/crates/budget/tests/ledger.rs
@@ -3,6 +3,7 @@
 use proptest::prelude::*;
 use rstest::rstest;
 use stonescale::time::{Span, Time};
+use stonescale_budget::buffer::LEAST;
 use stonescale_budget::plan::{LINK, MESSAGE, Share, Wrong};
 use stonescale_budget::purpose::FIXED;
 use stonescale_budget::{Buffer, Charge, Ledger, Level, Plan, Process, Purpose, Shares, victims};
@@ -115,10 +116,11 @@
 
     #[test]
     fn a_buffer_holds_what_was_put_in_and_occupies_what_is_charged(
-        pieces in prop::collection::vec((0..5_000usize, 0..6_000usize), 1..60)
+        own in any::<bool>(), pieces in prop::collection::vec((0..5_000usize, 0..6_000usize), 1..60)
     ) {
         let ledger = Ledger::new(&plan(8, 256));
-        let mut buffer = Buffer::new(&ledger, Purpose::Halves);
+        let mut buffer =
+            if own { Buffer::with_own(&ledger, Purpose::Halves) } else { Buffer::new(&ledger, Purpose::Halves) };
         let mut wanted: Vec<u8> = Vec::new();
         for (at, (put, taken)) in pieces.into_iter().enumerate() {
             let piece = vec![at as u8; put];
@@ -136,7 +138,9 @@
             }
             wanted.drain(..taken);
             prop_assert_eq!(ledger.held(Purpose::Halves), buffer.occupies());
-            prop_assert!(buffer.occupies() >= buffer.len() && ledger.held(Purpose::work(1)) == 0);
+            let charged = buffer.occupies() + if own { LEAST } else { 0 };
+            prop_assert!(charged >= buffer.len());
+            prop_assert_eq!(ledger.held(Purpose::work(1)), 0);
         }
     }
 
@@ -260,7 +264,7 @@
 
 fn client(owed: usize, still_ms: u64, asked: u64, working: bool) -> victims::Client {
     let moved = Time::at(100_000_000_000) - Span::millis(still_ms);
-    victims::Client { owed, moved, asked, working, leaving: false }
+    victims::Client { owed, moved, taken: moved, asked, working, leaving: false }
 }
 
 #[test]
@@ -291,7 +295,9 @@
 }
 
 #[test]
-fn where_all_are_busy_those_served_most_make_room() {
-    let clients = [client(0, 0, 3, true), client(0, 0, 1, true), client(0, 0, 90, true)];
-    assert_eq!(victims::rotate(&clients, 2), [2, 0]);
+fn where_all_are_busy_those_here_longest_make_room_after_a_tenure() {
+    let clients = [client(0, 1_500, 3, true), client(0, 900, 1, true), client(0, 4_000, 90, true)];
+    let now = Time::at(100_000_000_000);
+    assert_eq!(victims::rotate(&clients, now, Span::millis(1_000), 5), [2, 0]);
+    assert_eq!(victims::rotate(&clients, now, Span::millis(1_000), 1), [2]);
 }
--- a/crates/formats/src/lines.rs
+++ b/crates/formats/src/lines.rs
@@ -15,6 +15,11 @@
         Lines { most, held: VecDeque::new(), searched: 0 }
     }
 
+    /// Bytes that it occupies.
+    pub fn occupies(&self) -> usize {
+        self.held.capacity()
+    }
+
     pub fn feed(&mut self, bytes: &[u8]) {
         self.held.extend(bytes);
     }
@@ -36,6 +41,10 @@
             line.pop();
         }
         self.searched = 0;
+        // A long line must not be paid for by all the short ones after it.
+        if self.held.len() < self.held.capacity() / 8 {
+            self.held.shrink_to(4096);
+        }
         Ok(true)
     }
 }
--- a/crates/formats/src/resp.rs
+++ b/crates/formats/src/resp.rs
@@ -39,18 +39,20 @@
     at: usize,
     /// Parts still to come; none before the first line was read.
     left: Option<usize>,
+    /// Where the bulk string ends that is not whole yet.
+    bulk_end: Option<usize>,
     pub array: bool,
     pub parts: Vec<Part>,
 }
 
 impl Scanner {
     pub fn new(bounds: Bounds) -> Self {
-        Scanner { bounds, at: 0, left: None, array: false, parts: Vec::new() }
+        Scanner { bounds, at: 0, left: None, bulk_end: None, array: false, parts: Vec::new() }
     }
 
     /// Makes ready for the next message.
     pub fn reset(&mut self) {
-        (self.at, self.left, self.array) = (0, None, false);
+        (self.at, self.left, self.bulk_end, self.array) = (0, None, None, false);
         self.parts.clear();
     }
 
@@ -59,6 +61,12 @@
         self.at == 0
     }
 
+    /// How long the message must be at least, as far as a bulk string that is not whole yet tells, and whether it
+    /// ends there.
+    pub fn wants(&self) -> Option<(usize, bool)> {
+        self.bulk_end.map(|end| (end, self.left.unwrap_or(1) == 1))
+    }
+
     /// The length of the message once it is whole; `bytes` are all that came since its start.
     pub fn scan(&mut self, bytes: &[u8]) -> Result<Option<usize>, &'static str> {
         while self.left != Some(0) {
@@ -103,7 +111,10 @@
                 Some(size) => {
                     let (text, after) = (after..after + size, after + size + 2);
                     match bytes.get(text.end..after) {
-                        None => return Ok(false),
+                        None => {
+                            self.bulk_end = Some(after);
+                            return Ok(false);
+                        }
                         Some(b"\r\n") => self.part(Kind::Bulk, text, after),
                         Some(_) => return Err("bulk string not ended by CR LF"),
                     }
@@ -118,7 +129,7 @@
 
     fn part(&mut self, kind: Kind, text: Range<usize>, after: usize) {
         self.parts.push(Part { kind, whole: self.at..after, text });
-        self.at = after;
+        (self.at, self.bulk_end) = (after, None);
         self.left = Some(self.left.unwrap_or(1).saturating_sub(1));
     }
 }
--- /dev/null
+++ b/crates/lab/src/lib.rs
@@ -0,0 +1,25 @@
+//! The laboratory: what a marshal is tried with, on loopback and without any other program.
+//!
+//! - [`stage`]: the thread on which all stand-ins run, and their clock.
+//! - [`node`], [`discovery`], [`platform`]: stand-ins for the other parties, after the operators' protocol page.
+//! - [`load`]: usual clients, in an open loop; [`rogue`]: those that misbehave.
+//! - [`site`]: settings and configuration of a small site; [`program`]: a marshal as a process, watched from outside.
+//! - [`world`]: all of these put together, with one marshal.
+//! - [`checker`]: books of its own on every hit and forward, and which of the five rules broke.
+//!
+//! Handles are plain values: stories are written as ordinary code, while the stand-ins live on their own thread.
+
+pub mod checker;
+pub mod discovery;
+pub mod load;
+pub mod node;
+pub mod platform;
+pub mod program;
+pub mod rogue;
+pub mod site;
+pub mod stage;
+pub mod wire;
+pub mod world;
+
+pub use stage::Stage;
+pub use world::World;
--- /dev/null
+++ b/crates/lab/src/program.rs
@@ -0,0 +1,126 @@
+//! A marshal as a process of its own, and what can be seen of it from outside.
+
+use serde_json::Value;
+use std::io::{BufRead, BufReader};
+use std::net::SocketAddr;
+use std::path::{Path, PathBuf};
+use std::process::{Child, Command, ExitStatus, Stdio};
+use std::sync::atomic::{AtomicUsize, Ordering};
+use std::sync::mpsc::{Receiver, RecvTimeoutError, SyncSender, TrySendError, sync_channel};
+use std::time::{Duration, Instant};
+
+/// Lines of the log that wait to be looked at; what goes past it is counted only.
+const LINES: usize = 100_000;
+/// How long a marshal may take to listen.
+const READY: Duration = Duration::from_secs(20);
+
+/// What a process holds and has used.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct Sample {
+    /// Resident size in bytes.
+    pub resident: usize,
+    /// Processor time, user and system.
+    pub cpu: Duration,
+    pub descriptors: usize,
+}
+
+pub struct Program {
+    child: Child,
+    pub addr: SocketAddr,
+    /// Where its configuration lies.
+    pub config: PathBuf,
+    pub log: Receiver<String>,
+}
+
+/// A path of its own in the folder for temporary files.
+pub fn fresh_path(ending: &str) -> PathBuf {
+    static NUMBER: AtomicUsize = AtomicUsize::new(0);
+    let number = NUMBER.fetch_add(1, Ordering::SeqCst);
+    std::env::temp_dir().join(format!("stonescale-lab-{}-{number}.{ending}", std::process::id()))
+}
+
+impl Program {
+    /// Starts `binary serve` with this configuration and further arguments, and waits until it listens.
+    pub fn start(binary: &Path, config: &Value, args: &[&str]) -> Result<Self, String> {
+        let path = fresh_path("json");
+        std::fs::write(&path, config.to_string()).map_err(|e| format!("{}: {e}", path.display()))?;
+        let mut command = Command::new(binary);
+        command.arg("serve").arg("--config").arg(&path).args(args);
+        command.env_clear().stdin(Stdio::null()).stdout(Stdio::null()).stderr(Stdio::piped());
+        let mut child = command.spawn().map_err(|e| format!("{}: {e}", binary.display()))?;
+        let stderr = child.stderr.take().ok_or("no log")?;
+        let (tell, log) = sync_channel(LINES);
+        std::thread::spawn(move || pass_on(BufReader::new(stderr), &tell));
+        let mut program = Program { child, addr: ([127, 0, 0, 1], 0).into(), config: path, log };
+        let line = program.logged("listening at ", READY)?;
+        let addr = line.split("listening at ").nth(1).and_then(|t| t.split(['"', ' ']).next());
+        program.addr = addr.and_then(|a| a.parse().ok()).ok_or_else(|| format!("no address in '{line}'"))?;
+        Ok(program)
+    }
+
+    /// Waits for a line of the log that holds `word`.
+    pub fn logged(&self, word: &str, limit: Duration) -> Result<String, String> {
+        let until = Instant::now() + limit;
+        let mut last = String::new();
+        loop {
+            match self.log.recv_timeout(until.saturating_duration_since(Instant::now())) {
+                Ok(line) if line.contains(word) => return Ok(line),
+                Ok(line) => last = line,
+                Err(RecvTimeoutError::Timeout) => {
+                    return Err(format!("the log did not say '{word}'; last: {last}"));
+                }
+                Err(RecvTimeoutError::Disconnected) => return Err(format!("the marshal ended: {last}")),
+            }
+        }
+    }
+
+    pub fn pid(&self) -> u32 {
+        self.child.id()
+    }
+
+    /// Sends a signal by its name, such as `TERM`.
+    pub fn signal(&self, name: &str) {
+        let _ = Command::new("kill").args([&format!("-{name}"), &self.pid().to_string()]).status();
+    }
+
+    /// Has it ended?
+    pub fn ended(&mut self) -> Option<ExitStatus> {
+        self.child.try_wait().ok().flatten()
+    }
+
+    /// What it holds now.
+    pub fn sample(&self) -> Option<Sample> {
+        sample(self.pid())
+    }
+}
+
+fn pass_on(log: impl BufRead, tell: &SyncSender<String>) {
+    for line in log.lines().map_while(Result::ok) {
+        // Nobody may be looking: then the newest lines are left out, but the pipe is emptied.
+        if let Err(TrySendError::Disconnected(_)) = tell.try_send(line) {
+            break;
+        }
+    }
+}
+
+/// Reads what a process holds from the system's pages on it.
+pub fn sample(pid: u32) -> Option<Sample> {
+    let page = rustix::param::page_size();
+    let statm = std::fs::read_to_string(format!("/proc/{pid}/statm")).ok()?;
+    let resident = statm.split(' ').nth(1)?.parse::<usize>().ok()? * page;
+    let stat = std::fs::read_to_string(format!("/proc/{pid}/stat")).ok()?;
+    // The name may hold anything: the fields are counted from behind it.
+    let mut fields = stat.rsplit(") ").next()?.split(' ').skip(11);
+    let ticks = fields.next()?.parse::<u64>().ok()? + fields.next()?.parse::<u64>().ok()?;
+    let cpu = Duration::from_nanos(ticks * 1_000_000_000 / rustix::param::clock_ticks_per_second());
+    let descriptors = std::fs::read_dir(format!("/proc/{pid}/fd")).map_or(0, |d| d.count());
+    Some(Sample { resident, cpu, descriptors })
+}
+
+impl Drop for Program {
+    fn drop(&mut self) {
+        let _ = self.child.kill();
+        let _ = self.child.wait();
+        let _ = std::fs::remove_file(&self.config);
+    }
+}
--- /dev/null
+++ b/crates/lab/src/site.rs
@@ -0,0 +1,82 @@
+//! Settings and configuration of a small site.
+
+use serde_json::{Value, json};
+use std::net::SocketAddr;
+use std::time::Duration;
+use stonescale::terms::{Effect, Scope};
+use stonescale::time::Span;
+
+/// A path group as its hits are sent.
+#[derive(Clone, Debug)]
+pub struct Group {
+    pub name: &'static str,
+    pub effect: Effect,
+    pub target: Duration,
+    pub benefit: f64,
+}
+
+/// How long a tagged hit's mark is remembered here.
+pub const MEMORY: Duration = Duration::from_millis(3_000);
+
+pub const READ: usize = 0;
+pub const PUSH: usize = 1;
+pub const BOOK: usize = 2;
+
+/// One path group of each kind, by their constants.
+pub fn groups() -> Vec<Group> {
+    let tagged = Effect::Tagged { scope: Scope::All, memory: Span::millis(MEMORY.as_millis() as u64) };
+    let group = |name, effect, benefit| Group { name, effect, target: Duration::from_millis(400), benefit };
+    vec![
+        group("read", Effect::Repeatable, 1.0),
+        group("push", tagged, 3.0),
+        group("book", Effect::Mutating, 9.0),
+    ]
+}
+
+/// The settings object of the site.
+pub fn settings() -> Value {
+    let class = |group: Group| {
+        let effect = match group.effect {
+            Effect::Repeatable => "retryable",
+            Effect::Tagged { .. } => "dedup",
+            Effect::Mutating => "fragile",
+        };
+        json!({"name": group.name, "aim_ns": group.target.as_nanos() as u64, "deadline_ns": 1_500_000_000u64,
+            "effect": effect, "dedup_scope": "all", "memory_span_ns": MEMORY.as_nanos() as u64,
+            "worth": group.benefit})
+    };
+    json!({"azs": ["a", "b"], "flavors": ["m"], "me": 0, "siblings": 1, "zone": 0, "tick_ns": 1_000_000u64,
+        "classes": groups().into_iter().map(class).collect::<Vec<_>>(),
+        "realms": [{"name": "acme", "share": 1.0}],
+        "limits": {"attempts_cap": 5, "cancelling": true, "second_copies": true, "retry_after": true,
+            "max_retry_after_ns": 250_000_000u64, "connect_timeout_ns": 250_000_000u64,
+            "keepalive_ns": 15_000_000_000u64, "multiplex": 100},
+        "membership_mode": "ask",
+        "rules": {"ask_within_ns": 10_000_000_000u64, "cold_from": 0.3, "warm_up_ns": 1_000_000_000u64,
+            "fall_multiple": 2.0},
+        "specifics": {"allowance": 1.0, "call_timeout_ns": 800_000_000u64, "calls_per_s": 20.0, "counts": "all",
+            "gate_mode": "automatic", "most_shares": [0.1, 0.35, 1.0], "noes_needed": 1, "votes_to_hold": 1,
+            "vote_stands_ns": 4_000_000_000u64}})
+}
+
+/// Limits of a marshal's process.
+#[derive(Clone, Copy, Debug)]
+pub struct Limits {
+    pub memory_mb: usize,
+    pub sockets: usize,
+}
+
+impl Default for Limits {
+    fn default() -> Self {
+        Limits { memory_mb: 192, sockets: 1024 }
+    }
+}
+
+/// A marshal's configuration.
+pub fn config(
+    limits: Limits, discovery: SocketAddr, platform: SocketAddr, news: &Value, known: &Value,
+) -> Value {
+    json!({"name": "n0", "listen": "127.0.0.1:0", "discovery": discovery, "seed": "7",
+        "limits": {"cores": 1.0, "memory_mb": limits.memory_mb, "sockets": limits.sockets},
+        "platform": {"address": platform, "news": news}, "known": known, "settings": settings()})
+}
--- /dev/null
+++ b/crates/lab/src/stage.rs
@@ -0,0 +1,116 @@
+//! The thread on which stand-ins run.
+
+use async_executor::Executor;
+use async_io::Timer;
+use std::future::Future;
+use std::net::{Ipv4Addr, SocketAddr, TcpListener, TcpStream};
+use std::sync::Arc;
+use std::thread::JoinHandle;
+use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
+use stonescale::time::{Span, Time};
+
+/// A clock in Unix time that runs evenly, like the marshal's own.
+#[derive(Clone, Copy)]
+pub struct Clock {
+    start: Instant,
+    unix: Duration,
+}
+
+impl Clock {
+    fn start() -> Self {
+        Clock {
+            start: Instant::now(),
+            unix: SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default(),
+        }
+    }
+
+    pub fn now(&self) -> Time {
+        Time::at((self.unix + self.start.elapsed()).as_nanos() as u64)
+    }
+
+    /// Time since the stage was set up.
+    pub fn elapsed(&self) -> Duration {
+        self.start.elapsed()
+    }
+}
+
+/// A listener at a free port of the loopback address.
+pub type Listener = async_io::Async<TcpListener>;
+pub type Stream = async_io::Async<TcpStream>;
+
+pub struct Stage {
+    tasks: Arc<Executor<'static>>,
+    pub clock: Clock,
+    /// Closed, it ends the thread.
+    _end: async_channel::Sender<()>,
+    thread: Option<JoinHandle<()>>,
+}
+
+impl Default for Stage {
+    fn default() -> Self {
+        let tasks = Arc::new(Executor::new());
+        let (end, ended) = async_channel::bounded(1);
+        let on_stage = tasks.clone();
+        let run = move || {
+            let _ = async_io::block_on(on_stage.run(ended.recv()));
+        };
+        let thread = std::thread::Builder::new().name("stand-ins".into()).spawn(run).ok();
+        Stage { tasks, clock: Clock::start(), _end: end, thread }
+    }
+}
+
+impl Stage {
+    /// Runs a task until the stage is taken down.
+    pub fn spawn(&self, task: impl Future<Output = ()> + Send + 'static) {
+        self.tasks.spawn(task).detach();
+    }
+
+    /// Runs a task whose result is waited for elsewhere; dropped, it ends.
+    pub fn part<T: Send + 'static>(
+        &self, task: impl Future<Output = T> + Send + 'static,
+    ) -> async_executor::Task<T> {
+        self.tasks.spawn(task)
+    }
+
+    pub fn tasks(&self) -> Arc<Executor<'static>> {
+        self.tasks.clone()
+    }
+
+    /// A free port.
+    pub fn listen(&self) -> (Listener, SocketAddr) {
+        listen_at((Ipv4Addr::LOCALHOST, 0).into()).expect("a loopback port")
+    }
+}
+
+/// Listens at an address; a port of zero stands for a free one.
+pub fn listen_at(addr: SocketAddr) -> std::io::Result<(Listener, SocketAddr)> {
+    let listener = Listener::bind(addr)?;
+    let addr = listener.get_ref().local_addr()?;
+    Ok((listener, addr))
+}
+
+impl Drop for Stage {
+    fn drop(&mut self) {
+        self._end.close();
+        if let Some(thread) = self.thread.take() {
+            let _ = thread.join();
+        }
+    }
+}
+
+/// Waits on the stage.
+pub async fn pause(span: Span) {
+    Timer::after(Duration::from_nanos(span.as_nanos())).await;
+}
+
+/// Waits in a story until something holds; false where it does not come to hold in time.
+pub fn until(limit: Duration, mut holds: impl FnMut() -> bool) -> bool {
+    let start = Instant::now();
+    while !holds() {
+        if start.elapsed() > limit {
+            return false;
+        }
+        std::thread::sleep(Duration::from_millis(2));
+    }
+    true
+}
--- a/crates/marshal/src/core.rs
+++ b/crates/marshal/src/core.rs
@@ -1,8 +1,9 @@
 //! The core task: it alone owns the decision module, its timers and the hits' numbers. Socket tasks reach it
 //! through the inbox only; what the module calls for is carried out here.
 
-use crate::clients::{self, Client, Command};
+use crate::client::{Answer, Client};
 use crate::clock::Clock;
+use crate::command::{self, Command};
 use crate::discovery::Discovery;
 use crate::endings::Ending;
 use crate::inbox::{Arrival, Entry, Inbox, News, Outcome, Stage};
@@ -17,6 +18,9 @@
 use stonescale::host::{Fate, Host, Listing, Verdict};
 use stonescale::policy::Marshal;
 use stonescale::time::{Span, Time};
+use stonescale_budget::buffer::Block;
+use stonescale_budget::plan::NODE;
+use stonescale_budget::{Charge, Ledger, Purpose};
 
 /// How often idle connections are looked at.
 const SWEEP: Span = Span::millis(500);
@@ -38,6 +42,7 @@
     command: Command,
     answered: bool,
     forwards: Vec<Forward>,
+    _charges: [Charge; 2],
 }
 
 struct Forward {
@@ -55,8 +60,9 @@
     set: u64,
     hits: HashMap<u32, Open>,
     last_hit: u32,
+    ledger: Ledger,
     /// Numbers of nodes by their listed ids, and numbers that are free again.
-    ids: HashMap<String, usize>,
+    ids: HashMap<String, (usize, Charge)>,
     free: Vec<usize>,
     inbox: Rc<Inbox>,
     nodes: Nodes,
@@ -66,12 +72,27 @@
 
 impl Doors {
     pub fn new(
-        clock: Clock, inbox: Rc<Inbox>, nodes: Nodes, discovery: Discovery, platform: Rc<Platform>,
+        clock: Clock, ledger: Ledger, inbox: Rc<Inbox>, nodes: Nodes, discovery: Discovery,
+        platform: Rc<Platform>,
     ) -> Self {
         let (due, hits, ids) = (BinaryHeap::new(), HashMap::new(), HashMap::new());
         let now = clock.now();
         let free = Vec::new();
-        Doors { clock, now, due, set: 0, hits, last_hit: 0, ids, free, inbox, nodes, discovery, platform }
+        Doors {
+            clock,
+            now,
+            due,
+            set: 0,
+            hits,
+            last_hit: 0,
+            ledger,
+            ids,
+            free,
+            inbox,
+            nodes,
+            discovery,
+            platform,
+        }
     }
 
     fn at(&mut self, time: Time, due: Due) {
@@ -83,24 +104,30 @@
         self.due.peek().map(|Reverse(due)| due.0)
     }
 
-    /// A node's small number, by its listed id.
-    fn number(&mut self, id: String) -> usize {
+    /// A node's small number, by its listed id; none for a new one without room for its records.
+    fn number(&mut self, id: String) -> Option<usize> {
+        if let Some((number, _)) = self.ids.get(&id) {
+            return Some(*number);
+        }
+        let charge = self.ledger.charge(Purpose::Core, NODE).ok()?;
         let next = self.ids.len() + self.free.len();
-        *self.ids.entry(id).or_insert_with(|| self.free.pop().unwrap_or(next))
+        let number = self.free.pop().unwrap_or(next);
+        self.ids.insert(id, (number, charge));
+        Some(number)
     }
 
     /// Looks after idle connections, and forgets nodes that are gone for long.
     fn sweep(&mut self) {
         let over = self.nodes.sweep();
-        self.ids.retain(|_, number| !over.contains(number));
+        self.ids.retain(|_, (number, _)| !over.contains(number));
         self.free.extend(over);
     }
 
     /// Answers a hit, once.
-    fn answer(&mut self, hit: u32, answer: impl FnOnce() -> Vec<u8>) {
+    fn answer(&mut self, hit: u32, line: impl FnOnce() -> Vec<u8>) {
         if let Some(open) = self.hits.get_mut(&hit).filter(|open| !open.answered) {
             open.answered = true;
-            open.client.answer(open.place, answer());
+            open.client.answer(open.place, Answer::Line(line()));
             self.release(hit);
         }
     }
@@ -142,11 +169,11 @@
     }
 
     fn bounce(&mut self, hit: u32, retry_in: Span) {
-        self.answer(hit, || clients::bounced(retry_in));
+        self.answer(hit, || command::bounced(retry_in));
     }
 
     fn error(&mut self, hit: u32) {
-        self.answer(hit, clients::errored);
+        self.answer(hit, command::errored);
     }
 
     fn cancel(&mut self, hit: u32, hop: u8) {
@@ -253,11 +280,11 @@
     fn news(&mut self, news: News) {
         let now = self.doors.now;
         match news {
-            News::Listed(how, entries) => self.listed(how, entries),
+            News::Listed(how, entries, _charge) => self.listed(how, entries),
             News::ListFailed => self.marshal.told_list_failed(&mut self.doors, now),
             News::Stage(stage, vote) => self.staged(stage, vote),
             News::Flagged { node, group, age } => match self.doors.ids.get(&node) {
-                Some(&at) => self.marshal.flagged(now, at as u64, group, age),
+                Some((at, _)) => self.marshal.flagged(now, *at as u64, group, age),
                 None => warn!("a complaint about an unknown node is skipped"),
             },
             News::Moved(discovery, platform) => {
@@ -271,14 +298,21 @@
     pub fn listed(&mut self, how: Listing, entries: Vec<Entry>) {
         debug!("list: {how:?}, {} entries", entries.len());
         let now = self.doors.now;
-        let mut named = Vec::new();
+        let (mut named, mut left_out) = (Vec::new(), 0);
         self.marshal.told_list_opens(now, how);
         for (id, addr, place, readiness, build, started) in entries {
-            let at = self.doors.number(id);
+            let Some(at) = self.doors.number(id) else {
+                // One that is not known gets no forwards: nothing is missed with it.
+                left_out += 1;
+                continue;
+            };
             named.push(at);
             self.doors.nodes.listed(at, addr, readiness, started);
             self.marshal.told_list_entry(at as u64, place, readiness, build, started);
         }
+        if left_out > 0 {
+            warn!("{left_out} nodes of the list are left out: there is no room for their records");
+        }
         if how != Listing::Delta {
             self.doors.nodes.keep_only(&named);
         }
@@ -291,31 +325,33 @@
         self.marshal.told_stage(&mut self.doors, now, (build, stage), standing, cap, age, vote);
     }
 
-    fn arrived(&mut self, Arrival { client, place, command, came }: Arrival) {
-        if client.gone() {
+    fn arrived(&mut self, Arrival { client, place, command, came, charges }: Arrival) {
+        if client.gone.get() {
             return;
         }
         let now = self.doors.now;
         self.doors.last_hit = self.doors.last_hit.wrapping_add(1);
         let hit = self.doors.last_hit;
         client.bind(place, hit);
-        let (group, tenant, key) = (command.group, command.tenant, command.key);
+        let (group, tenant, key) = (command.ask.group, command.ask.tenant, command.ask.key);
         // The client's wait runs since it sent the hit, not since the hit left this program's queues.
-        let patience = command.patience - (now - came);
+        let patience = command.ask.patience - (now - came);
         let forwards = Vec::new();
-        self.doors.hits.insert(hit, Open { client, place, command, answered: false, forwards });
+        self.doors
+            .hits
+            .insert(hit, Open { client, place, command, answered: false, forwards, _charges: charges });
         self.marshal.taken(&mut self.doors, now, hit, (group, tenant), key, patience, None);
     }
 
-    fn ended(&mut self, hit: u32, hop: u8, ending: Ending, sent: bool, value: Vec<u8>) {
+    fn ended(&mut self, hit: u32, hop: u8, ending: Ending, sent: bool, value: Option<Block>) {
         let now = self.doors.now;
         let Some(open) = self.doors.hits.get_mut(&hit) else { return };
         let Some(forward) = open.forwards.get_mut(usize::from(hop)).filter(|f| !f.told) else { return };
         (forward.link, forward.told) = (None, true);
         let (fate, latency) = (ending.fate(sent), now - forward.sent);
-        if fate == Fate::Ok && !open.answered {
+        if let (Some(value), false) = (value, open.answered) {
             open.answered = true;
-            open.client.answer(open.place, value);
+            open.client.answer(open.place, Answer::Value(value));
         }
         let last = open.answered;
         self.marshal.completed(&mut self.doors, now, (hit, hop), fate, last, latency);
--- a/crates/marshal/src/discovery.rs
+++ b/crates/marshal/src/discovery.rs
@@ -6,7 +6,8 @@
 use crate::turn::{Signal, Turn, connect, read_some, turn};
 use async_executor::{LocalExecutor, Task};
 use log::info;
-use serde_json::Value;
+use serde::Deserialize;
+use std::borrow::Cow;
 use std::cell::{Cell, RefCell};
 use std::io::Write;
 use std::net::{SocketAddr, TcpStream};
@@ -14,6 +15,7 @@
 use std::time::{Duration, Instant};
 use stonescale::host::{Listing, Place, Readiness};
 use stonescale::time::Time;
+use stonescale_budget::{Ledger, Purpose};
 use stonescale_formats::chunked::Response;
 use stonescale_formats::lines::Lines;
 use stonescale_site::Names;
@@ -21,8 +23,12 @@
 /// An empty line comes every 2 s, by the protocol page: after two without one, nothing will come.
 const SILENCE: Duration = Duration::from_millis(4_000);
 const UP_WITHIN: Duration = Duration::from_millis(1_000);
-/// Longest line: a list of thousands of nodes.
+/// Longest line: a list of thousands of nodes; and one part in so many of what the list may occupy while it is read,
+/// as a line stands beside the next one and beside its entries.
 const LINE: usize = 1 << 20;
+const LINE_PART: usize = 4;
+/// What an entry occupies over the bytes that state it: its address, place and times take less room than their text.
+const ENTRIES: usize = 1;
 
 pub struct Discovery {
     addr: Cell<SocketAddr>,
@@ -37,6 +43,7 @@
     before: Rc<RefCell<Option<Task<()>>>>,
     /// Number of the newest call: a failure of any other is not told.
     newest: Rc<Cell<u64>>,
+    ledger: Ledger,
 }
 
 /// The names of zones and kinds, to read entries by.
@@ -51,12 +58,10 @@
     }
 
     /// One entry; an error says what is wrong with it.
-    fn entry(&self, told: &Value) -> Result<Entry, String> {
-        let text = |key: &str| told.get(key).and_then(Value::as_str).ok_or(format!("{key} is not a text"));
-        let number = |key: &str| told.get(key).and_then(Value::as_f64);
+    fn entry(&self, told: &Server) -> Result<Entry, String> {
         let at = |names: &[String], name: &str| names.iter().position(|n| n == name);
-        let addr = text("addr")?.parse().map_err(|_| "addr is not an address and a port")?;
-        let readiness = match text("state")? {
+        let addr = told.addr.parse().map_err(|_| "addr is not an address and a port")?;
+        let readiness = match &*told.state {
             "up" => Readiness::Ready,
             "draining" => Readiness::Draining,
             "removed" => Readiness::Gone,
@@ -64,38 +69,62 @@
         };
         // A place of an unknown name is like no other.
         let place = Place {
-            zone: at(&self.zones, text("zone")?).map_or(u8::MAX, |at| at as u8),
-            kind: at(&self.kinds, text("kind")?).unwrap_or(self.kinds.len()) as u16,
-            cell: number("cell").unwrap_or(0.0) as u16,
-            weight: number("weight").unwrap_or(1.0) as f32,
+            zone: at(&self.zones, &told.zone).map_or(u8::MAX, |at| at as u8),
+            kind: at(&self.kinds, &told.kind).unwrap_or(self.kinds.len()) as u16,
+            cell: told.cell.unwrap_or(0.0) as u16,
+            weight: told.weight.unwrap_or(1.0) as f32,
         };
         let build =
-            number("image_id").filter(|b| (0.0..65536.0).contains(b)).ok_or("image_id is no build")?;
-        let started = told.get("started_ms").and_then(Value::as_u64).unwrap_or(0);
-        let started = Time::at(started.saturating_mul(1_000_000));
-        Ok((text("id")?.to_owned(), addr, place, readiness, build as u16, started))
+            Some(told.image_id).filter(|b| (0.0..65536.0).contains(b)).ok_or("image_id is no build")?;
+        let started = Time::at((told.started_ms.unwrap_or(0.0) as u64).saturating_mul(1_000_000));
+        Ok((told.id.clone().into_owned(), addr, place, readiness, build as u16, started))
     }
 
-    /// Version, whether it is the whole list, and the entries of one list object.
-    pub fn list(&self, told: &Value) -> Result<(u64, bool, Vec<Entry>), String> {
-        let version = told.get("version").and_then(Value::as_u64).ok_or("version is not a number")?;
-        let full = told.get("full").and_then(Value::as_bool).ok_or("full is not true or false")?;
-        let servers = told.get("servers").and_then(Value::as_array).ok_or("servers is not a list")?;
-        // A line is true as a whole or not at all: with an entry passed over, a drain could be missed for ever.
-        let entries: Result<Vec<_>, _> = servers.iter().map(|server| self.entry(server)).collect();
-        Ok((version, full, entries?))
+    /// Version, whether it is the whole list, and the entries of one list object. It is true as a whole or not at
+    /// all: with an entry passed over, a drain could be missed for ever.
+    pub fn list(&self, told: List) -> Result<(u64, bool, Vec<Entry>), String> {
+        let entries: Result<Vec<_>, _> = told.servers.iter().map(|server| self.entry(server)).collect();
+        Ok((told.version, told.full, entries?))
     }
 }
 
+/// A list object as discovery words it; its texts stay in the line that they came in.
+#[derive(Deserialize)]
+pub struct List<'a> {
+    version: u64,
+    full: bool,
+    #[serde(borrow)]
+    servers: Vec<Server<'a>>,
+}
+
+#[derive(Deserialize)]
+struct Server<'a> {
+    #[serde(borrow)]
+    id: Cow<'a, str>,
+    #[serde(borrow)]
+    addr: Cow<'a, str>,
+    #[serde(borrow)]
+    zone: Cow<'a, str>,
+    #[serde(borrow)]
+    kind: Cow<'a, str>,
+    cell: Option<f64>,
+    #[serde(borrow)]
+    state: Cow<'a, str>,
+    weight: Option<f64>,
+    /// Left out or none: a long time back.
+    started_ms: Option<f64>,
+    image_id: f64,
+}
+
 impl Discovery {
     pub fn new(
         addr: SocketAddr, places: Rc<Places>, inbox: Rc<Inbox>, tasks: Rc<LocalExecutor<'static>>,
-        version: Option<u64>,
+        version: Option<u64>, ledger: Ledger,
     ) -> Self {
         let version = Rc::new(Cell::new(version));
         let (watch, fetch, before) = (RefCell::default(), RefCell::default(), Rc::default());
         let (addr, newest) = (Cell::new(addr), Rc::default());
-        Discovery { addr, places, inbox, tasks, version, watch, fetch, before, newest }
+        Discovery { addr, places, inbox, tasks, version, watch, fetch, before, newest, ledger }
     }
 
     /// From now on discovery is at `addr`. The watch that stands goes on until something comes from there, so
@@ -130,7 +159,8 @@
         let (before, newest) = (self.before.clone(), self.newest.clone());
         let number = newest.get() + 1;
         newest.set(number);
-        Call { addr: self.addr.get(), path, number, places, inbox, version, before, newest }
+        let ledger = self.ledger.clone();
+        Call { addr: self.addr.get(), path, number, places, inbox, version, before, newest, ledger }
     }
 }
 
@@ -143,6 +173,7 @@
     version: Rc<Cell<Option<u64>>>,
     before: Rc<RefCell<Option<Task<()>>>>,
     newest: Rc<Cell<u64>>,
+    ledger: Ledger,
 }
 
 impl Call {
@@ -165,7 +196,9 @@
             format!("GET {} HTTP/1.1\r\nHost: {}\r\nAccept: application/json\r\n\r\n", self.path, self.addr);
         // A fresh connection takes so few bytes at once.
         stream.get_ref().write_all(ask.as_bytes()).map_err(|e| format!("not asked: {e}"))?;
-        let (mut response, mut lines) = (Response::default(), Lines::new(LINE));
+        let (mut response, mut lines) =
+            (Response::default(), Lines::new(LINE.min(self.ledger.cap(Purpose::Discovery) / LINE_PART)));
+        let mut charge = self.ledger.open(Purpose::Discovery);
         let (mut scratch, mut body, mut line) = (vec![0; 16 * 1024], Vec::new(), Vec::new());
         loop {
             let ended = Self::bytes(&stream, &mut scratch, &mut response, &mut body).await?;
@@ -177,9 +210,17 @@
             if over {
                 lines.feed(b"\n");
             }
+            // What is read but can't be held is asked for anew: a list is true as a whole or not at all.
+            let held = |lines: &Lines, line: &Vec<u8>| lines.occupies() + line.capacity();
+            charge.resize(held(&lines, &line)).map_err(|_| "there is no room for the list")?;
             while lines.next(&mut line)? {
+                charge.resize(held(&lines, &line)).map_err(|_| "there is no room for the list")?;
                 self.line(&line)?;
             }
+            if line.capacity() > scratch.len() {
+                line = Vec::new();
+            }
+            charge.resize(held(&lines, &line)).map_err(|_| "there is no room for the list")?;
             if over {
                 let whole = response.done() || response.ends_with_connection();
                 let watch = self.path.contains("follow");
@@ -211,8 +252,10 @@
         if line.trim_ascii().is_empty() {
             return Ok(());
         }
-        let told: Value = serde_json::from_slice(line).map_err(|_| "a line is not JSON")?;
-        let (version, full, entries) = self.places.list(&told)?;
+        let charge = self.ledger.charge(Purpose::Discovery, line.len() * ENTRIES);
+        let charge = charge.map_err(|_| "there is no room for the entries of the list")?;
+        let told: List = serde_json::from_slice(line).map_err(|e| format!("a line can't be read: {e}"))?;
+        let (version, full, entries) = self.places.list(told)?;
         if !full && self.version.get().is_some_and(|held| version < held) {
             // It can't be put on top of what is held; the next call is for the whole list.
             self.version.set(None);
@@ -222,7 +265,7 @@
             drop(self.before.take());
         }
         self.version.set(Some(version));
-        self.inbox.news(News::Listed(if full { Listing::Full } else { Listing::Delta }, entries));
+        self.inbox.news(News::Listed(if full { Listing::Full } else { Listing::Delta }, entries, charge));
         Ok(())
     }
 }
--- a/crates/marshal/src/inbox.rs
+++ b/crates/marshal/src/inbox.rs
@@ -1,7 +1,8 @@
 //! The queue through which socket tasks reach the core task, drained in batches. It has three lanes, since
 //! news of drains and caps must not wait behind a long row of hits.
 
-use crate::clients::{Client, Command};
+use crate::client::Client;
+use crate::command::Command;
 use crate::endings::Ending;
 use crate::turn::Signal;
 use std::cell::RefCell;
@@ -10,6 +11,8 @@
 use std::rc::Rc;
 use stonescale::host::{Fate, Listing, Place, Readiness, Standing};
 use stonescale::time::{Span, Time};
+use stonescale_budget::Charge;
+use stonescale_budget::buffer::Block;
 
 /// An entry of the node list: id, address, place, readiness, build and listed start.
 pub type Entry = (String, SocketAddr, Place, Readiness, u16, Time);
@@ -18,7 +21,8 @@
 pub type Stage = (u16, u8, Standing, f64, Span);
 
 pub enum News {
-    Listed(Listing, Vec<Entry>),
+    /// With what the entries are charged to.
+    Listed(Listing, Vec<Entry>, Charge),
     ListFailed,
     /// Where the newest build stands; as the answer to a vote, how that ended.
     Stage(Stage, Option<Fate>),
@@ -39,7 +43,8 @@
         hop: u8,
         ending: Ending,
         sent: bool,
-        value: Vec<u8>,
+        /// The node's value, if it served.
+        value: Option<Block>,
     },
     /// A client is gone, with these hits unanswered.
     Left(Vec<u32>),
@@ -51,6 +56,8 @@
     pub place: u64,
     pub command: Command,
     pub came: Time,
+    /// What its records are charged to, until it is done with.
+    pub charges: [Charge; 2],
 }
 
 #[derive(Default)]
@@ -73,7 +80,7 @@
     }
 
     pub fn ended(&self, hit: u32, hop: u8, ending: Ending, sent: bool) {
-        self.outcome(Outcome::Ended { hit, hop, ending, sent, value: Vec::new() });
+        self.outcome(Outcome::Ended { hit, hop, ending, sent, value: None });
     }
 
     pub fn arrival(&self, arrival: Arrival) {
--- a/crates/marshal/src/main.rs
+++ b/crates/marshal/src/main.rs
@@ -1,7 +1,9 @@
 //! The command line of one stonescale marshal.
 
+mod client;
 mod clients;
 mod clock;
+mod command;
 mod core;
 mod discovery;
 mod endings;
--- a/crates/marshal/src/nodes.rs
+++ b/crates/marshal/src/nodes.rs
@@ -1,12 +1,12 @@
 //! Nodes: connections to them, and the forwards that these carry. A connection carries one forward where
 //! another connection is to be had, since answers on a connection come in order; several where not.
 
-use crate::clients::{Command, VALUE};
 use crate::clock::{Clock, duration};
+use crate::command::{Command, VALUE};
 use crate::endings::Ending;
 use crate::inbox::{Inbox, Outcome};
 use crate::reactor::Async;
-use crate::turn::{Signal, Turn, connect, consume, quiet, read_some, turn, write_some};
+use crate::turn::{Signal, Turn, connect, quiet, read_some, turn, write_pieces, write_some};
 use async_executor::LocalExecutor;
 use log::{debug, info, warn};
 use std::cell::{Cell, RefCell};
@@ -16,6 +16,9 @@
 use std::time::{Duration, Instant};
 use stonescale::host::Readiness;
 use stonescale::time::{Span, Time};
+use stonescale_budget::buffer::LEAST;
+use stonescale_budget::plan::LINK;
+use stonescale_budget::{Buffer, Charge, Ledger, Purpose, Refused};
 use stonescale_formats::resp::{Bounds, Kind, Scanner};
 
 const BOUNDS: Bounds = Bounds { parts: 8, bulk: VALUE, line: 1024, whole: VALUE + 4 * 1024 };
@@ -24,6 +27,10 @@
 /// A second copy or noise may follow an answer right behind. It must have come to be seen, or it would be taken
 /// for the answer to the next hit: so long a connection rests, and then it is looked at.
 const REST: Span = Span::millis(5);
+/// One part in so many of what may be queued to all nodes that one may have queued.
+const NODE_PART: usize = 4;
+/// How soon a connection looks again whether there is room for the answer that comes on it.
+const AGAIN: Duration = Duration::from_millis(10);
 
 struct Flight {
     hit: u32,
@@ -40,7 +47,7 @@
     /// Until the connection is over: the descriptor must not wait for all that still know the link.
     stream: RefCell<Option<Rc<Async<TcpStream>>>>,
     flights: RefCell<VecDeque<Flight>>,
-    out: RefCell<VecDeque<u8>>,
+    out: RefCell<Buffer>,
     queued: Cell<u64>,
     written: Cell<u64>,
     /// It takes no further forwards.
@@ -49,6 +56,7 @@
     end: Cell<Option<Ending>>,
     used: Cell<Time>,
     signal: Signal,
+    _record: Charge,
 }
 
 impl Link {
@@ -78,13 +86,44 @@
         self.stream.borrow().as_ref().is_none_or(|stream| quiet(stream))
     }
 
-    fn queue(&self, hit: u32, hop: u8, command: &Command, wait: Span) {
+    /// Puts a forward on the connection: writes what it takes now, and queues the rest if there is room. Where it went
+    /// out in part only, the connection ends.
+    fn queue(&self, hit: u32, hop: u8, command: &Command, wait: Span) -> Result<(), Ending> {
         let mut out = self.out.borrow_mut();
-        let before = out.len();
-        command.write(&mut out, wait);
-        self.queued.set(self.queued.get() + (out.len() - before) as u64);
+        command.pieces(wait, |pieces| {
+            let length: usize = pieces.iter().map(|p| p.len()).sum();
+            let stream = self.stream.borrow();
+            let wrote = match stream.as_ref().filter(|_| out.is_empty()) {
+                Some(stream) => write_pieces(stream, pieces).map_err(|_| Ending::Broken),
+                None => Ok(0),
+            };
+            let wrote = wrote.inspect_err(|ending| self.finish(*ending))?;
+            self.written.set(self.written.get() + wrote as u64);
+            let put = |out: &mut Buffer| {
+                out.reserve(length - wrote)?;
+                let mut done = wrote;
+                for piece in pieces {
+                    let passed = done.min(piece.len());
+                    done -= passed;
+                    out.extend(&piece[passed..])?;
+                }
+                Ok(())
+            };
+            put(&mut out).map_err(|_: Refused| {
+                if wrote > 0 {
+                    self.finish(Ending::NoSocket);
+                }
+                Ending::NoSocket
+            })?;
+            self.queued.set(self.queued.get() + length as u64);
+            Ok(())
+        })?;
         let whole_at = self.queued.get();
         self.flights.borrow_mut().push_back(Flight { hit, hop, whole_at, told: false });
+        if !out.is_empty() {
+            self.signal.raise();
+        }
+        Ok(())
     }
 
     /// Writes what can be written now.
@@ -115,6 +154,7 @@
     idle: Span,
     multiplex: usize,
     most: usize,
+    ledger: Ledger,
     open: Rc<Cell<usize>>,
     scratch: Rc<RefCell<Vec<u8>>>,
 }
@@ -122,11 +162,11 @@
 impl Nodes {
     pub fn new(
         inbox: Rc<Inbox>, tasks: Rc<LocalExecutor<'static>>, clock: Clock,
-        (up_within, idle, multiplex): (Span, Span, usize), most: usize,
+        (up_within, idle, multiplex): (Span, Span, usize), most: usize, ledger: Ledger,
     ) -> Self {
         let scratch = Rc::new(RefCell::new(vec![0; VALUE]));
         let (stands, open) = (Vec::new(), Rc::default());
-        Nodes { stands, inbox, tasks, clock, up_within, idle, multiplex, most, open, scratch }
+        Nodes { stands, inbox, tasks, clock, up_within, idle, multiplex, most, ledger, open, scratch }
     }
 
     pub fn open(&self) -> usize {
@@ -191,12 +231,7 @@
             let link = link.clone();
             if link.sound() {
                 link.used.set(now);
-                link.queue(hit, hop, command, wait);
-                if let Err(ending) = link.flush() {
-                    link.finish(ending);
-                } else if !link.out.borrow().is_empty() {
-                    link.signal.raise();
-                }
+                link.queue(hit, hop, command, wait)?;
                 return Ok(link);
             }
             link.finish(Ending::Closed);
@@ -208,8 +243,12 @@
             let shared = stand.links.iter().filter(|l| !l.retired.get() && !l.idle());
             let shared = shared.filter(|l| l.flights.borrow().len() < self.multiplex);
             if let Some(link) = shared.min_by_key(|l| l.flights.borrow().len()).cloned() {
-                link.queue(hit, hop, command, wait);
-                link.signal.raise();
+                // What one node does not read must not take the room of what goes to the others.
+                let queued: usize = stand.links.iter().map(|l| l.out.borrow().occupies()).sum();
+                if queued > self.ledger.cap(Purpose::Links) / NODE_PART {
+                    return Err(Ending::NoSocket);
+                }
+                link.queue(hit, hop, command, wait)?;
                 return Ok(link);
             }
             // This node has none to share: another's idle one goes for it.
@@ -217,19 +256,21 @@
             let idle = all.filter(|l| l.idle() && !l.retired.get()).min_by_key(|l| l.used.get());
             idle.ok_or(Ending::NoSocket)?.finish(Ending::Idle);
         }
+        let record = self.ledger.charge(Purpose::Links, LINK).map_err(|_| Ending::NoSocket)?;
         let link = Rc::new(Link {
             opened: now,
             stream: RefCell::default(),
             flights: RefCell::default(),
-            out: RefCell::default(),
+            out: RefCell::new(Buffer::new(&self.ledger, Purpose::Links)),
             queued: Cell::new(0),
             written: Cell::new(0),
             retired: Cell::new(false),
             end: Cell::new(None),
             used: Cell::new(now),
             signal: Signal::default(),
+            _record: record,
         });
-        link.queue(hit, hop, command, wait);
+        link.queue(hit, hop, command, wait)?;
         let stand = self.stands.get_mut(node).and_then(Option::as_mut).ok_or(Ending::NoSuchNode)?;
         stand.links.push(link.clone());
         self.open.set(self.open.get() + 1);
@@ -237,6 +278,7 @@
             link: link.clone(),
             inbox: self.inbox.clone(),
             clock: self.clock,
+            ledger: self.ledger.clone(),
             open: self.open.clone(),
             scratch: self.scratch.clone(),
             part_within: duration(self.up_within),
@@ -283,6 +325,7 @@
     link: Rc<Link>,
     inbox: Rc<Inbox>,
     clock: Clock,
+    ledger: Ledger,
     open: Rc<Cell<usize>>,
     scratch: Rc<RefCell<Vec<u8>>>,
     /// Within this the rest of an answer comes: as long as a connection may take to come up.
@@ -332,7 +375,7 @@
     async fn carry(&self) -> Ending {
         let link = &self.link;
         let Some(stream) = link.stream.borrow().clone() else { return Ending::Broken };
-        let mut held = Vec::new();
+        let mut held = Buffer::with_own(&self.ledger, Purpose::Answers);
         let mut scanner = Scanner::new(BOUNDS);
         // When the answer began that is not whole yet.
         let mut begun = None;
@@ -343,19 +386,31 @@
             if let Err(ending) = link.flush() {
                 return ending;
             }
+            let more = match scanner.wants() {
+                None if held.spare() > 0 => 0,
+                None => LEAST,
+                Some((end, _)) => end.saturating_sub(held.len()),
+            };
+            // Without room the answer stays where it is, until there is some or its time is over.
+            let room = held.reserve(more).is_ok();
             let write = !link.out.borrow().is_empty();
-            let due = begun.map(|at| at + self.part_within);
-            match turn(&stream, true, write, &link.signal, due).await {
+            let over = begun.map(|at| at + self.part_within);
+            let again = (!room).then(|| Instant::now() + AGAIN);
+            let due = over.into_iter().chain(again).min();
+            match turn(&stream, room, write, &link.signal, due).await {
                 Turn::Readable => {}
                 // A length that doesn't fit, or a line without an end: the rest will never come.
-                Turn::Due => return Ending::Garbled,
+                Turn::Due if over.is_some_and(|at| at <= Instant::now()) => return Ending::Garbled,
                 _ => continue,
             }
             {
                 let mut scratch = self.scratch.borrow_mut();
-                match read_some(&stream, &mut scratch) {
+                let most = held.spare().min(VALUE);
+                match read_some(&stream, &mut scratch[..most]) {
                     Ok(Some([])) => return Ending::Closed,
-                    Ok(Some(bytes)) => held.extend_from_slice(bytes),
+                    // There is room for all that was read.
+                    Ok(Some(bytes)) if held.extend(bytes).is_err() => return Ending::Garbled,
+                    Ok(Some(_)) => {}
                     Ok(None) => continue,
                     Err(_) => return Ending::Broken,
                 }
@@ -371,11 +426,10 @@
         }
     }
 
-    fn take_answers(&self, scanner: &mut Scanner, held: &mut Vec<u8>) -> Result<(), &'static str> {
-        let mut start = 0;
-        while start < held.len() {
-            let bytes = &held[start..];
-            let Some(length) = scanner.scan(bytes)? else { break };
+    fn take_answers(&self, scanner: &mut Scanner, held: &mut Buffer) -> Result<(), &'static str> {
+        while !held.is_empty() {
+            let bytes = held.as_slice();
+            let Some(length) = scanner.scan(bytes)? else { return Ok(()) };
             let first = scanner.parts.first().ok_or("empty array")?;
             let ending = match (scanner.array, first.kind) {
                 // Load report and null that may follow are read past.
@@ -384,22 +438,35 @@
                 (false, Kind::Error) => Ending::SaidFailed,
                 _ => return Err("neither a value nor an error"),
             };
-            let value =
-                if ending == Ending::Served { bytes[first.whole.clone()].to_vec() } else { Vec::new() };
             if ending == Ending::SaidFailed && bytes[first.text.clone()].starts_with(b"SYNTAX") {
                 warn!("a node found a forward malformed");
             }
+            let place = first.whole.clone();
             let mut flights = self.link.flights.borrow_mut();
             let flight = flights.pop_front_if(|f| self.link.sent(f)).ok_or("no forward was out")?;
+            drop(flights);
+            let wanted = !flight.told && ending == Ending::Served;
+            let value = wanted.then(|| held.take(length, Purpose::Answers));
+            if !matches!(value, Some(Ok(_))) {
+                held.consume(length, LEAST);
+            }
             if !flight.told {
                 let (hit, hop, sent) = (flight.hit, flight.hop, true);
+                let (ending, value) = match value {
+                    None => (ending, None),
+                    Some(Ok(mut block)) => {
+                        block.narrow(place);
+                        (ending, Some(block))
+                    }
+                    // It ran, and there is no room for what it said.
+                    Some(Err(_)) => (Ending::Garbled, None),
+                };
                 self.inbox.outcome(Outcome::Ended { hit, hop, ending, sent, value });
             }
             self.link.used.set(self.clock.now());
             scanner.reset();
-            start += length;
         }
-        consume(held, start);
+        held.release();
         Ok(())
     }
 }
--- a/crates/marshal/src/platform.rs
+++ b/crates/marshal/src/platform.rs
@@ -17,6 +17,7 @@
 use std::time::{Duration, Instant};
 use stonescale::host::{Fate, Standing, Verdict};
 use stonescale::time::Span;
+use stonescale_budget::{Buffer, Ledger, Purpose};
 use stonescale_formats::lines::Lines;
 use stonescale_formats::rpc::{self, Listener};
 
@@ -56,6 +57,7 @@
     call_timeout: Span,
     groups: Vec<String>,
     seed: u64,
+    ledger: Ledger,
     last_id: Cell<u64>,
     calls: RefCell<VecDeque<Call>>,
     /// The newest last; those before it are on their way out.
@@ -92,10 +94,10 @@
 impl Platform {
     pub fn new(
         inbox: Rc<Inbox>, tasks: Rc<LocalExecutor<'static>>, call_timeout: Span, groups: Vec<String>,
-        seed: u64,
+        seed: u64, ledger: Ledger,
     ) -> Rc<Self> {
         let (last_id, calls, posts) = (Cell::new(0), RefCell::default(), RefCell::default());
-        Rc::new(Platform { inbox, tasks, call_timeout, groups, seed, last_id, calls, posts })
+        Rc::new(Platform { inbox, tasks, call_timeout, groups, seed, ledger, last_id, calls, posts })
     }
 
     /// From now on the platform is at `addr`. What stands is kept until something came from there, so that
@@ -146,7 +148,7 @@
         let mut chance = Pcg64Mcg::seed_from_u64(self.seed ^ post.number);
         let mut pause = PAUSE;
         loop {
-            let mut line = Line::new();
+            let mut line = Line::new(&self.ledger);
             let why = match self.connect(&post).await {
                 Ok(stream) => self.talk(&post, &stream, &mut line).await,
                 Err(e) => format!("no connection: {e}"),
@@ -189,7 +191,7 @@
                 if post.left.get() {
                     return Err(std::io::Error::other("the platform has moved"));
                 }
-                self.expire(post, &Line::new());
+                self.expire(post, &Line::new(&self.ledger));
             }
         };
         futures_lite::future::or(connect(post.addr, UP_WITHIN), expiring).await
@@ -216,7 +218,9 @@
     /// Takes on the votes that wait, unless a newer post has answered already.
     fn take_on(&self, post: &Post, line: &mut Line) {
         for call in self.calls.borrow_mut().iter_mut().filter(|c| c.taken.is_none() && !post.left.get()) {
-            call.taken = Some((post.number, line.call(call.id, "release.vote", call.params.clone())));
+            // Without room it waits, and is told as unreached when its time is over.
+            let at = line.call(call.id, "release.vote", call.params.clone());
+            call.taken = at.map(|at| (post.number, at));
         }
     }
 
@@ -224,7 +228,8 @@
     async fn talk(&self, post: &Post, stream: &Async<TcpStream>, line: &mut Line) -> String {
         let subscription = self.next_id();
         line.call(subscription, "subscribe", Value::Null);
-        let (mut lines, mut text, mut scratch) = (Lines::new(LINE), Vec::new(), vec![0; 16 * 1024]);
+        let (mut lines, mut text, mut scratch) = (Lines::new(LINE), Vec::new(), vec![0; 4 * 1024]);
+        let mut charge = self.ledger.open(Purpose::Platform);
         let mut silent_at = Instant::now() + SILENCE;
         loop {
             self.expire(post, line);
@@ -242,7 +247,12 @@
                 Turn::Readable => match read_some(stream, &mut scratch) {
                     Ok(None) => {}
                     Ok(Some([])) => return "ended by the other side".into(),
-                    Ok(Some(bytes)) => lines.feed(bytes),
+                    Ok(Some(bytes)) => {
+                        lines.feed(bytes);
+                        if charge.resize(lines.occupies() + text.capacity()).is_err() {
+                            return "there is no room for what it says".into();
+                        }
+                    }
                     Err(e) => return format!("broke: {e}"),
                 },
                 _ => {}
@@ -277,7 +287,7 @@
 
 /// What goes out on one connection.
 struct Line {
-    out: VecDeque<u8>,
+    out: Buffer,
     queued: u64,
     written: u64,
     /// Something came back on it.
@@ -285,17 +295,17 @@
 }
 
 impl Line {
-    fn new() -> Self {
-        Line { out: VecDeque::new(), queued: 0, written: 0, heard: false }
+    fn new(ledger: &Ledger) -> Self {
+        Line { out: Buffer::with_own(ledger, Purpose::Platform), queued: 0, written: 0, heard: false }
     }
 
-    /// Queues a call; returns how many bytes will have been written with it.
-    fn call(&mut self, id: u64, method: &str, params: Value) -> u64 {
+    /// Queues a call if there is room; returns how many bytes will have been written with it.
+    fn call(&mut self, id: u64, method: &str, params: Value) -> Option<u64> {
         let mut text = Vec::new();
         rpc::write_call(&mut text, id, method, params);
+        self.out.extend(&text).ok()?;
         self.queued += text.len() as u64;
-        self.out.extend(text);
-        self.queued
+        Some(self.queued)
     }
 
     fn flush(&mut self, stream: &Async<TcpStream>) -> std::io::Result<()> {
--- a/crates/marshal/src/serve.rs
+++ b/crates/marshal/src/serve.rs
@@ -1,10 +1,11 @@
 //! One marshal from its start to its end: parts are made and joined here.
 
+use crate::client::Crowd;
 use crate::clients::Clients;
 use crate::clock::Clock;
 use crate::core::{Core, Doors};
-use crate::discovery::{Discovery, Places};
-use crate::inbox::{Inbox, News};
+use crate::discovery::{Discovery, List, Places};
+use crate::inbox::{Entry, Inbox, News};
 use crate::nodes::Nodes;
 use crate::platform::{self, Platform};
 use crate::reactor::{self, Async, Timer};
@@ -12,6 +13,7 @@
 use async_executor::LocalExecutor;
 use futures_lite::future::or;
 use log::{error, info, warn};
+use serde::Deserialize;
 use serde_json::Value;
 use signal_hook::consts::{SIGHUP, SIGINT, SIGTERM};
 use std::io::{self, Read};
@@ -21,6 +23,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 use stonescale::host::{Host, Listing};
+use stonescale_budget::{Ledger, Purpose, Shares};
 
 /// After SIGTERM new connections come for 0.4 s at most, by the protocol page; for so long all goes on.
 const STILL_COMING: Duration = Duration::from_millis(550);
@@ -31,41 +34,54 @@
 pub fn check(root: &Value) -> Result<String, String> {
     let (name, listen, discovery) = startup::identity(root)?;
     startup::seed(root)?;
-    let ((clients, _), links, held) = startup::limits(root)?;
+    let ((clients, _), links, memory) = startup::limits(root)?;
     let (platform, news) = startup::platform(root)?;
     platform::stage(news).map_err(|e| format!("platform.news: {e}"))?;
     let settings = startup::settings(root)?;
     let names = stonescale_site::names(settings).map_err(|e| format!("settings.{e}"))?;
-    let known = startup::known(root)?;
-    let (_, _, entries) = Places::of(&names).list(known).map_err(|e| format!("known: {e}"))?;
+    let (_, _, entries) = known(root, &Places::of(&names))?;
+    let plan = startup::plan(root, names.groups.len(), &Shares::default())?;
     stonescale_site::links(settings).map_err(|e| format!("settings.{e}"))?;
     stonescale_site::outside(settings).map_err(|e| format!("settings.{e}"))?;
     stonescale_site::marshal(settings, 0, Clock::start().now(), &mut Nobody)
         .map_err(|e| format!("settings.{e}"))?;
     Ok(format!(
         "{name} at {listen}; discovery {discovery}, platform {platform}; {} path groups, {} nodes known; \
-         at most {clients} client and {links} node connections, {} MiB for hits in work",
+         at most {clients} client and {links} node connections; {} of {} KiB by purpose, {} KiB for hits of one group",
         names.groups.len(),
         entries.len(),
-        held >> 20,
+        plan.total >> 10,
+        memory >> 10,
+        plan.of(Purpose::work(0)).cap >> 10,
     ))
 }
 
+/// The node list that the configuration holds.
+fn known(root: &Value, places: &Places) -> Result<(u64, bool, Vec<Entry>), String> {
+    let list = List::deserialize(startup::known(root)?).map_err(|e| format!("known: {e}"))?;
+    places.list(list).map_err(|e| format!("known: {e}"))
+}
+
 /// Serves until SIGTERM, then until all that was taken is answered. On SIGHUP `file` is read again.
 pub fn serve(file: &Path) -> Result<(), String> {
     // Before anything else: a signal that nobody waits for would end the program.
     let ends = signals(&[SIGTERM, SIGINT]).map_err(|e| format!("signals: {e}"))?;
     let rereads = signals(&[SIGHUP]).map_err(|e| format!("signals: {e}"))?;
-    let root = &startup::read(file)?;
-    info!("{}", check(root)?);
-    let (_, listen, there) = startup::identity(root)?;
-    let (most_clients, most_links, held) = startup::limits(root)?;
-    let (platform, news) = startup::platform(root)?;
-    let (settings, seed) = (startup::settings(root)?, startup::seed(root)?);
-    let names = stonescale_site::names(settings)?;
-    let (asked, call_timeout) = stonescale_site::outside(settings)?;
+    let mut root = startup::read(file)?;
+    info!("{}", check(&root)?);
+    let (_, listen, there) = startup::identity(&root)?;
+    let (most_clients, most_links, _) = startup::limits(&root)?;
+    let (platform, news) = startup::platform(&root)?;
+    let news = platform::stage(news)?;
+    let seed = startup::seed(&root)?;
+    let names = stonescale_site::names(startup::settings(&root)?)?;
     let places = Rc::new(Places::of(&names));
-    let (version, _, entries) = places.list(startup::known(root)?)?;
+    let (version, _, entries) = known(&root, &places)?;
+    // Only what is compared when it is read again is kept: a list of thousands of nodes is not.
+    startup::forget_news(&mut root);
+    let settings = startup::settings(&root)?;
+    let (asked, call_timeout) = stonescale_site::outside(settings)?;
+    let ledger = Ledger::new(&startup::plan(&root, names.groups.len(), &Shares::default())?);
 
     let listener = TcpListener::bind(listen).and_then(|l| l.set_nonblocking(true).map(|()| l));
     // What is taken on it inherits this.
@@ -74,27 +90,34 @@
     info!("listening at {}", listener.get_ref().local_addr().unwrap_or(listen));
     let (clock, inbox) = (Clock::start(), Rc::new(Inbox::default()));
     let tasks = Rc::new(LocalExecutor::new());
-    let nodes =
-        Nodes::new(inbox.clone(), tasks.clone(), clock, stonescale_site::links(settings)?, most_links);
-    let discovery = Discovery::new(there, places, inbox.clone(), tasks.clone(), Some(version));
-    let groups = names.groups.iter().map(|g| g.0.clone()).collect();
+    let nodes = Nodes::new(
+        inbox.clone(),
+        tasks.clone(),
+        clock,
+        stonescale_site::links(settings)?,
+        most_links,
+        ledger.clone(),
+    );
+    let discovery =
+        Discovery::new(there, places, inbox.clone(), tasks.clone(), Some(version), ledger.clone());
+    let groups = names.groups.iter().map(|g| g.name.clone()).collect();
     let there = (there, platform);
-    let platform = Platform::new(inbox.clone(), tasks.clone(), call_timeout, groups, seed);
+    let platform = Platform::new(inbox.clone(), tasks.clone(), call_timeout, groups, seed, ledger.clone());
     platform.at(there.1);
 
-    let mut doors = Doors::new(clock, inbox.clone(), nodes, discovery, platform);
+    let mut doors = Doors::new(clock, ledger.clone(), inbox.clone(), nodes, discovery, platform);
     let marshal = stonescale_site::marshal(settings, seed, clock.now(), &mut doors)?;
     if !asked {
         // Where changes come without being asked for, that is the watch.
         doors.watch(true);
     }
     let mut core = Core::new(marshal, doors);
-    core.staged(platform::stage(news)?, None);
+    core.staged(news, None);
     core.listed(Listing::Cached, entries);
     tasks.spawn(core.run()).detach();
-    tasks.spawn(reread(rereads, file.to_owned(), root.clone(), there, inbox.clone())).detach();
+    tasks.spawn(reread(rereads, file.to_owned(), root, there, inbox.clone())).detach();
 
-    let clients = Clients::new(inbox, clock, names, most_clients, held);
+    let clients = Clients::new(inbox, Crowd::new(ledger, clock), names, most_clients);
     let listener = Rc::new(listener);
     let accepting = tasks.spawn(clients.clone().accept(listener, tasks.clone()));
     let until_the_end = async move {
--- a/crates/marshal/src/startup.rs
+++ b/crates/marshal/src/startup.rs
@@ -4,6 +4,7 @@
 use serde_json::Value;
 use std::net::SocketAddr;
 use std::path::{Path, PathBuf};
+use stonescale_budget::{Plan, Process, Shares};
 use stonescale_site::Told;
 
 /// Part of the descriptors kept free for discovery and the platform (two each where they move), the log, and
@@ -16,8 +17,6 @@
 /// For hits, clients hold a third of the descriptors at most, by the service page; half of that is a
 /// crowd, among which idle connections make room.
 const CROWD: f64 = 1.0 / 6.0;
-/// Part of the memory limit that hits in work may hold.
-const HELD: usize = 2;
 
 /// The environment, read here and nowhere else. It is stronger than the file.
 fn variable(name: &str) -> Option<String> {
@@ -72,6 +71,14 @@
     ["name", "listen", "seed", "limits", "settings"].into_iter().filter(differs).map(str::to_owned).collect()
 }
 
+/// Drops what only tells how things stood when the file was written.
+pub fn forget_news(root: &mut Value) {
+    if let Some(root) = root.as_object_mut() {
+        root.remove("known");
+        root.remove("platform");
+    }
+}
+
 /// Seed of the random numbers.
 pub fn seed(root: &Value) -> Result<u64, String> {
     let text = Told(root, "").word("seed")?;
@@ -79,8 +86,7 @@
         .map_err(|_| format!("seed is not a number of up to 16 hex digits: '{text}'"))
 }
 
-/// Most client connections and what is a crowd of them, most node connections, and most bytes that hits in work
-/// may hold.
+/// Most client connections and what is a crowd of them, most node connections, and the memory limit in bytes.
 pub fn limits(root: &Value) -> Result<((usize, usize), usize, usize), String> {
     let limits = Told(Told(root, "").need("limits")?, "limits.");
     let (sockets, memory) = (limits.number("sockets")? as usize, limits.number("memory_mb")? as usize);
@@ -88,12 +94,18 @@
     let free = sockets.saturating_sub(reserved);
     if free < 4 {
         return Err(format!("limits.sockets is too few: {sockets}"));
-    } else if memory < 8 {
-        return Err(format!("limits.memory_mb is too little: {memory}"));
     }
     let clients = (free as f64 * CLIENTS) as usize;
     let crowd = (sockets as f64 * CROWD) as usize;
-    Ok(((clients, crowd), free - clients, memory * 1024 * 1024 / HELD))
+    Ok(((clients, crowd), free - clients, memory.saturating_mul(1024 * 1024)))
+}
+
+/// Caps and reserves by purpose, from the limits and the shares; what can't be kept is an error that names what is
+/// missing.
+pub fn plan(root: &Value, groups: usize, shares: &Shares) -> Result<Plan, String> {
+    let ((clients, _), links, memory) = limits(root)?;
+    let process = Process { memory, clients, links, groups };
+    Plan::new(process, shares).map_err(|e| format!("limits.memory_mb: {e}"))
 }
 
 /// The platform's address, and the state of the newest build.
--- a/crates/marshal/src/turn.rs
+++ b/crates/marshal/src/turn.rs
@@ -3,18 +3,12 @@
 use crate::reactor::{self, Async, Timer};
 use futures_lite::future::{or, pending};
 use std::cell::{Cell, RefCell};
-use std::collections::VecDeque;
 use std::future::poll_fn;
-use std::io::{self, ErrorKind, Read, Write};
+use std::io::{self, ErrorKind, IoSlice, Read, Write};
 use std::net::{SocketAddr, TcpStream};
 use std::task::{Poll, Waker};
 use std::time::{Duration, Instant};
-
-/// An empty buffer that once had to be larger than this is given back.
-const KEPT: usize = 64 * 1024;
-
-/// What a buffer for half-read messages keeps while it is empty.
-const HALF_READ: usize = 4 * 1024;
+use stonescale_budget::Buffer;
 
 /// Raised by one side, waited for by one task on the other.
 #[derive(Default)]
@@ -108,33 +102,37 @@
     matches!(stream.get_ref().peek(&mut [0]), Err(e) if e.kind() == ErrorKind::WouldBlock)
 }
 
-/// Drops what has been taken from the front of `held`; emptied, it gives a large buffer back.
-pub fn consume(held: &mut Vec<u8>, taken: usize) {
-    held.drain(..taken);
-    if held.is_empty() {
-        held.shrink_to(HALF_READ);
-    }
+/// Writes what the connection takes of `bytes` now, and says how much that was.
+pub fn write_now(stream: &Async<TcpStream>, bytes: &[u8]) -> io::Result<usize> {
+    write_pieces(stream, &[bytes])
 }
 
-/// Writes what can be written now, counting it in `written` also where the connection breaks. True once
-/// nothing is left.
-pub fn write_some(stream: &Async<TcpStream>, out: &mut VecDeque<u8>, written: &mut u64) -> io::Result<bool> {
-    while !out.is_empty() {
-        match stream.get_ref().write(out.as_slices().0) {
-            Ok(n) => {
-                out.drain(..n);
-                *written += n as u64;
-            }
+/// The same for the pieces of one message.
+pub fn write_pieces(stream: &Async<TcpStream>, pieces: &[&[u8]]) -> io::Result<usize> {
+    let slices: Vec<_> = pieces.iter().map(|p| IoSlice::new(p)).collect();
+    loop {
+        match stream.get_ref().write_vectored(&slices) {
+            Ok(n) => return Ok(n),
             Err(e) if e.kind() == ErrorKind::WouldBlock => {
                 stream.filled();
-                return Ok(false);
+                return Ok(0);
             }
             Err(e) if e.kind() == ErrorKind::Interrupted => {}
             Err(e) => return Err(e),
         }
     }
-    if out.capacity() > KEPT {
-        out.shrink_to(0);
+}
+
+/// Writes what can be written now, counting it in `written` also where the connection breaks. True once
+/// nothing is left.
+pub fn write_some(stream: &Async<TcpStream>, out: &mut Buffer, written: &mut u64) -> io::Result<bool> {
+    while !out.is_empty() {
+        let n = write_now(stream, out.as_slice())?;
+        if n == 0 {
+            return Ok(false);
+        }
+        out.consume(n, 0);
+        *written += n as u64;
     }
     Ok(true)
 }
--- /dev/null
+++ b/crates/marshal/tests/memory.rs
@@ -0,0 +1,143 @@
+//! Pressure on one purpose stays where it arises: the program on loopback among clients and nodes that misbehave.
+
+use std::path::Path;
+use std::time::{Duration, Instant};
+use stonescale_lab::World;
+use stonescale_lab::load::{Plan, Tally};
+use stonescale_lab::node::{Manner, Mood};
+use stonescale_lab::rogue::Manner as Rogue;
+use stonescale_lab::site::{Limits, PUSH, READ};
+
+const MIB: usize = 1 << 20;
+
+fn world(memory_mb: usize, sockets: usize) -> World {
+    let binary = Path::new(env!("CARGO_BIN_EXE_stonescale"));
+    World::start(binary, 4, Limits { memory_mb, sockets }, &Manner::default(), &[]).unwrap()
+}
+
+/// For so long trouble is kept up.
+const TROUBLE: Duration = Duration::from_millis(3_000);
+/// The nodes' silence is forgotten by the hits that try them: within so long.
+const AFTER: Duration = Duration::from_millis(2_500);
+
+fn during(world: &World, span: Duration) -> usize {
+    let start = Instant::now();
+    world.most_resident(|| start.elapsed() >= span)
+}
+
+fn share(tally: &Tally, part: u64) -> f64 {
+    part as f64 / (tally.asked as f64).max(1.0)
+}
+
+/// Usual clients are served as before, some seconds after the trouble.
+fn all_is_back(world: &World) {
+    world.mood(Mood::Well);
+    let reads = world.load(Plan::reads(100.0, 9));
+    std::thread::sleep(AFTER);
+    reads.count_anew();
+    std::thread::sleep(AFTER / 2);
+    let tally = reads.finish().swap_remove(READ);
+    assert!(share(&tally, tally.delivered) > 0.95, "{} of {} reads", tally.delivered, tally.asked);
+}
+
+// A flood of repeats under new marks, 40 KB each, while every node is silent.
+
+#[test]
+fn a_flood_meets_its_cap_and_all_is_back_after_it() {
+    let world = world(32, 1024);
+    world.mood(Mood::Silent);
+    let flood = world.rogues(Rogue::Flood, 450, PUSH, 60_000);
+    let most = during(&world, TROUBLE);
+    drop(flood);
+    assert!(most < 32 * MIB, "resident {most}");
+    all_is_back(&world);
+    assert_eq!(world.books.verdict(), "");
+}
+
+#[test]
+fn readers_are_answered_as_before_while_a_flood_meets_silent_nodes() {
+    // Half of the nodes are silent: the flood stands in work for long, and its purpose is full.
+    let world = world(8, 1024);
+    world.nodes[..2].iter().for_each(|n| n.mood(Mood::Silent));
+    let flood = world.rogues(Rogue::Flood, 150, PUSH, 40_000);
+    std::thread::sleep(Duration::from_millis(1_000));
+    let reads = world.load(Plan::reads(100.0, 3));
+    let most = during(&world, TROUBLE);
+    let tally = reads.finish().swap_remove(READ);
+    drop(flood);
+    assert!(most < 8 * MIB, "resident {most}");
+    assert!(share(&tally, tally.delivered) > 0.9, "{tally:?}");
+    all_is_back(&world);
+    assert_eq!(world.books.verdict(), "");
+}
+
+#[test]
+fn where_a_flood_holds_every_connection_the_others_have_their_turn() {
+    let world = world(32, 256);
+    let flood = world.rogues(Rogue::Flood, 200, PUSH, 40_000);
+    std::thread::sleep(Duration::from_millis(1_500));
+    let reads = world.load(Plan::reads(50.0, 3));
+    during(&world, TROUBLE);
+    let tally = reads.finish().swap_remove(READ);
+    drop(flood);
+    assert!(share(&tally, tally.delivered) > 0.5, "{} of {}", tally.delivered, tally.asked);
+    all_is_back(&world);
+}
+
+// Clients that do not read, or do not finish.
+
+#[test]
+fn clients_that_never_read_are_left_before_they_take_all_room() {
+    let world = world(8, 1024);
+    world.nodes.iter().for_each(|n| n.manner(|m| m.value = 60_000));
+    let mutes = world.rogues(Rogue::NeverReads, 150, READ, 0);
+    let most = during(&world, TROUBLE);
+    drop(mutes);
+    assert!(most < 8 * MIB, "resident {most}");
+    all_is_back(&world);
+}
+
+#[test]
+fn half_commands_on_every_connection_leave_room_for_whole_ones() {
+    let world = world(8, 1024);
+    let halves = world.rogues(Rogue::Half, 400, PUSH, 65_000);
+    std::thread::sleep(Duration::from_millis(500));
+    let reads = world.load(Plan::reads(100.0, 3));
+    let most = during(&world, TROUBLE);
+    let tally = reads.finish().swap_remove(READ);
+    drop(halves);
+    assert!(most < 8 * MIB, "resident {most}");
+    assert!(share(&tally, tally.delivered) > 0.9, "{} of {}", tally.delivered, tally.asked);
+    all_is_back(&world);
+    assert_eq!(world.books.verdict(), "");
+}
+
+#[test]
+fn values_for_clients_that_have_left_are_not_kept() {
+    let world = world(8, 1024);
+    world.nodes.iter().for_each(|n| n.manner(|m| (m.value, m.work) = (65_000, Duration::from_millis(200))));
+    let leavers = world.rogues(Rogue::Leaves, 200, READ, 0);
+    let most = during(&world, TROUBLE);
+    drop(leavers);
+    assert!(most < 8 * MIB, "resident {most}");
+    world.nodes.iter().for_each(|n| n.manner(|m| *m = Manner::default()));
+    all_is_back(&world);
+}
+
+// A node that takes connections and never reads.
+
+#[test]
+fn what_one_node_does_not_read_takes_nothing_from_the_others() {
+    let world = world(8, 256);
+    world.nodes[0].mood(Mood::Deaf);
+    let flood = world.rogues(Rogue::Flood, 40, PUSH, 40_000);
+    let reads = world.load(Plan::reads(100.0, 3));
+    std::thread::sleep(Duration::from_millis(500));
+    let most = during(&world, TROUBLE);
+    let tally = reads.finish().swap_remove(READ);
+    drop(flood);
+    assert!(most < 8 * MIB, "resident {most}");
+    assert!(share(&tally, tally.delivered) > 0.9, "{} of {}", tally.delivered, tally.asked);
+    all_is_back(&world);
+    assert_eq!(world.books.verdict(), "");
+}
--- a/crates/marshal/tests/sockets.rs
+++ b/crates/marshal/tests/sockets.rs
@@ -680,7 +680,7 @@
 #[case("limits", json!({"sockets": 1024}), "limits.memory_mb is missing")]
 #[case("platform", json!({"address": "127.0.0.1:1"}), "platform.news is missing")]
 #[case("platform", json!({"address": "127.0.0.1:1", "news": {"build": 4}}), "platform.news: stage is not")]
-#[case("known", json!({}), "known: version is not")]
+#[case("known", json!({}), "known: missing field `version`")]
 #[case("settings", json!({}), "settings.classes is missing")]
 fn a_faulty_configuration_is_named_in_one_line(#[case] key: &str, #[case] value: Value, #[case] why: &str) {
     for command in ["serve", "check"] {
--- a/crates/site/src/lib.rs
+++ b/crates/site/src/lib.rs
@@ -51,6 +51,10 @@
     }
 }
 
+fn retry_in(limits: &Told) -> Result<Span, String> {
+    if limits.flag("retry_after")? { limits.span("max_retry_after_ns") } else { Ok(Span::ZERO) }
+}
+
 fn path_group(value: &Value, place: &str) -> Result<PathGroup, String> {
     let told = Told(value, place);
     let effect = match told.word("effect")? {
@@ -110,7 +114,7 @@
         forwards: limits.number("attempts_cap")? as usize,
         second_copies: limits.flag("second_copies")?,
         cancelling: limits.flag("cancelling")?,
-        retry_in: if limits.flag("retry_after")? { limits.span("max_retry_after_ns")? } else { Span::ZERO },
+        retry_in: retry_in(&limits)?,
         tick: top.span("tick_ns")?,
     };
     let trial = Trial {
@@ -149,9 +153,18 @@
     Ok(Marshal::new(host, now, seed, (groups, tenancy, handling), trial, ballot, (listed, warm_up)))
 }
 
+/// A path group as far as that is needed before a hit of it is taken.
+pub struct Group {
+    pub name: String,
+    pub effect: Effect,
+    pub target: Span,
+}
+
 /// The names that stand on the wire for the settings' indices.
 pub struct Names {
-    pub groups: Vec<(String, Effect)>,
+    pub groups: Vec<Group>,
+    /// Longest wait that a bounced client obeys; zero where it is not told any.
+    pub retry_in: Span,
     pub tenants: Vec<String>,
     pub zones: Vec<String>,
     pub kinds: Vec<String>,
@@ -167,14 +180,16 @@
     let (mut groups, mut tenants) = (Vec::new(), Vec::new());
     for (at, value) in top.list("classes")?.iter().enumerate() {
         let place = format!("classes[{at}].");
-        groups.push((name(value, &place)?, path_group(value, &place)?.effect));
+        let PathGroup { effect, target, .. } = path_group(value, &place)?;
+        groups.push(Group { name: name(value, &place)?, effect, target });
     }
     if top.find("realms").is_some() {
         for value in top.list("realms")? {
             tenants.push(name(value, "realms[].")?);
         }
     }
-    Ok(Names { groups, tenants, zones: words("azs")?, kinds: words("flavors")? })
+    let retry_in = retry_in(&Told(top.need("limits")?, "limits."))?;
+    Ok(Names { groups, retry_in, tenants, zones: words("azs")?, kinds: words("flavors")? })
 }
 
 /// How connections to nodes are made: how long one may take to come up, how long it may stand idle, and how
--- a/src/policy.rs
+++ b/src/policy.rs
@@ -72,6 +72,11 @@
     (-since.over(FORGIVE)).exp()
 }
 
+/// When a bounced client may come back: soon enough to be answered in time still, if it obeys so short a wait.
+pub fn come_back(target: Span, longest: Span) -> Span {
+    (target * COME_BACK).min(longest)
+}
+
 impl Desk {
     /// Worth of a hit for shedding, 0 to 1: its benefit, less past its tenant's share of the own traffic.
     fn value(&mut self, group: usize, tenant: usize) -> f64 {
@@ -605,9 +610,9 @@
             return;
         }
         hit.state = to;
-        let soon = self.desk.groups[hit.group].target * COME_BACK;
+        let soon = come_back(self.desk.groups[hit.group].target, self.desk.handling.retry_in);
         match to {
-            State::Bounced => host.bounce(hit.id, soon.min(self.desk.handling.retry_in)),
+            State::Bounced => host.bounce(hit.id, soon),
             State::Errored => host.error(hit.id),
             _ => {}
         }
