A stand-in node that was deaf ends its connections: what came when can't be told any more

Cause: one story in four blamed the marshal for forwards that it had written in time and the stand-in read late.

--- a/crates/lab/src/node.rs
+++ b/crates/lab/src/node.rs
@@ -222,9 +222,15 @@
         let mut messages = Messages::default();
         let mut owed: VecDeque<(Instant, Vec<u8>, bool)> = VecDeque::new();
         loop {
+            let mut deaf = false;
             while self.lock().mood == Mood::Deaf {
+                deaf = true;
                 Timer::after(Duration::from_millis(10)).await;
             }
+            if deaf {
+                // When what is unread was sent can't be told any more: for the books it never came.
+                return;
+            }
             let due = owed.front().map(|(at, ..)| *at);
             let next = async { Some(messages.next(&mut &**stream).await) };
             let answer = async {
