Command line on clap, log on tracing, the operator's file as INI; memory is reported by purpose

Need: nothing told operators what a marshal's memory is for, and there was no place for settings of theirs. Change: deploy/operator.ini, read and checked in crates/operator (a fault names file, line, section and key; check says what is in force and from where; SIGHUP takes it whole or not at all). The log is text or JSON, bounded to so many lines a second and written by a thread of its own that leaves lines out where nobody takes them. On SIGUSR1 and every so often one event a purpose: held, cap, reserve, high mark, refusals, reclaimed, level; an event for each change of a level.

--- a/crates/budget/src/ledger.rs
+++ b/crates/budget/src/ledger.rs
@@ -91,6 +91,14 @@
         Ledger(Rc::new(RefCell::new(Books { purposes, pool, sides, changes: VecDeque::new() })))
     }
 
+    /// Goes by another plan from now on, for the same path groups.
+    pub fn replan(&self, plan: &Plan) {
+        let bounds: Vec<_> = plan.accounts.iter().map(|(_, account)| *account).collect();
+        let mut books = self.0.borrow_mut();
+        books.pool.replan(plan.total, &bounds);
+        (0..bounds.len()).for_each(|at| books.see(at));
+    }
+
     fn at(&self, purpose: Purpose) -> usize {
         purpose.index().min(self.0.borrow().purposes.len() - 1)
     }
--- a/crates/budget/src/pool.rs
+++ b/crates/budget/src/pool.rs
@@ -38,6 +38,17 @@
         Pool { accounts, shared: total.saturating_sub(reserved), lent: 0 }
     }
 
+    /// Other bounds from now on, for the same accounts. What an account holds past its new cap it keeps until it gives
+    /// it back.
+    pub fn replan(&mut self, total: usize, bounds: &[Account]) {
+        for (account, bound) in self.accounts.iter_mut().zip(bounds) {
+            (account.cap, account.reserve) = (bound.cap, bound.reserve);
+        }
+        let reserved: usize = self.accounts.iter().map(|a| a.reserve).sum();
+        self.shared = total.saturating_sub(reserved);
+        self.lent = self.accounts.iter().map(Account::borrowed).sum();
+    }
+
     pub fn accounts(&self) -> &[Account] {
         &self.accounts
     }
@@ -51,7 +62,7 @@
     pub fn room(&self, at: usize) -> usize {
         let account = &self.accounts[at];
         let own = account.reserve.saturating_sub(account.held);
-        (account.cap - account.held).min(own + (self.shared - self.lent))
+        account.cap.saturating_sub(account.held).min(own + self.shared.saturating_sub(self.lent))
     }
 
     /// Takes `bytes` for an account, or changes nothing and says no.
--- a/crates/budget/tests/ledger.rs
+++ b/crates/budget/tests/ledger.rs
@@ -204,6 +204,18 @@
     assert_eq!((row.account.held, row.account.high, row.refusals), (0, room, 1));
 }
 
+#[test]
+fn under_a_new_plan_what_is_held_past_a_cap_is_kept_until_it_is_given_back() {
+    let (wide, narrow) = (plan(32, 256), plan(8, 256));
+    let ledger = Ledger::new(&wide);
+    let mut held = ledger.charge(Purpose::Owed, wide.of(Purpose::Owed).cap).unwrap();
+    ledger.replan(&narrow);
+    assert!(ledger.room(Purpose::Owed) == 0 && ledger.charge(Purpose::Owed, 1).is_err());
+    assert!(ledger.room(Purpose::Halves) >= narrow.of(Purpose::Halves).reserve);
+    held.resize(0).unwrap();
+    assert_eq!(ledger.room(Purpose::Owed), narrow.of(Purpose::Owed).cap);
+}
+
 // ---- Plans ----
 
 #[rstest]
--- a/crates/marshal/src/clients.rs
+++ b/crates/marshal/src/clients.rs
@@ -7,7 +7,6 @@
 use crate::turn::{Turn, read_some, turn};
 use async_executor::LocalExecutor;
 use futures_lite::future::yield_now;
-use log::{debug, warn};
 use std::cell::{Cell, RefCell};
 use std::io::ErrorKind;
 use std::net::{Shutdown, TcpListener, TcpStream};
@@ -20,6 +19,7 @@
 use stonescale_budget::{Buffer, Ledger, Purpose};
 use stonescale_formats::resp::{Kind, Scanner};
 use stonescale_site::Names;
+use tracing::{debug, warn};
 
 /// How soon accepting looks again after it was short of room or of descriptors.
 const AGAIN: Duration = Duration::from_millis(10);
--- a/crates/marshal/src/core.rs
+++ b/crates/marshal/src/core.rs
@@ -11,7 +11,6 @@
 use crate::platform::Platform;
 use crate::reactor::Timer;
 use futures_lite::future::{or, yield_now};
-use log::{debug, info, warn};
 use std::cmp::Reverse;
 use std::collections::{BinaryHeap, HashMap};
 use std::rc::Rc;
@@ -21,6 +20,7 @@
 use stonescale_budget::buffer::Block;
 use stonescale_budget::plan::NODE;
 use stonescale_budget::{Charge, Ledger, Purpose};
+use tracing::{debug, info, warn};
 
 /// How often idle connections are looked at.
 const SWEEP: Span = Span::millis(500);
--- a/crates/marshal/src/discovery.rs
+++ b/crates/marshal/src/discovery.rs
@@ -5,7 +5,6 @@
 use crate::reactor::Async;
 use crate::turn::{Signal, Turn, connect, read_some, turn};
 use async_executor::{LocalExecutor, Task};
-use log::info;
 use serde::Deserialize;
 use std::borrow::Cow;
 use std::cell::{Cell, RefCell};
@@ -19,6 +18,7 @@
 use stonescale_formats::chunked::Response;
 use stonescale_formats::lines::Lines;
 use stonescale_site::Names;
+use tracing::info;
 
 /// An empty line comes every 2 s, by the protocol page: after two without one, nothing will come.
 const SILENCE: Duration = Duration::from_millis(4_000);
--- a/crates/marshal/src/main.rs
+++ b/crates/marshal/src/main.rs
@@ -9,6 +9,7 @@
 mod endings;
 mod inbox;
 mod logger;
+mod memory;
 mod nodes;
 mod platform;
 mod reactor;
@@ -16,34 +17,51 @@
 mod startup;
 mod turn;
 
-use log::LevelFilter;
-use pico_args::Arguments;
+use clap::{Args, Parser, Subcommand};
 use std::path::PathBuf;
 use std::process::ExitCode;
+use tracing::level_filters::LevelFilter;
 
-const USAGE: &str = "\
-usage: stonescale <command> [options]
-
-commands:
-  serve     run one marshal in the foreground
-  check     read and check the configuration, say what it holds, and end
-  version   say the version
+/// One stonescale marshal: takes hits, forwards them to nodes of the earlier build and, within a cap, of the build on
+/// trial, and votes on whether that goes on.
+///
+/// NODE_NAME, NODE_LISTEN and NODE_DISCOVERY are stronger than the configuration. On SIGHUP `serve` reads both files
+/// again: the addresses of discovery and the platform move, the operator's settings change, and all else waits for the
+/// next start. On SIGUSR1 it reports what its memory is held for.
+#[derive(Parser)]
+#[command(name = "stonescale", version, about, long_about, disable_help_subcommand = true)]
+struct Line {
+    #[command(subcommand)]
+    command: Command,
+}
 
-options of serve and check:
-  --config FILE   the configuration; else the file that NODE_CONFIG names
-  --log LEVEL     error, warn, info (the default), debug or trace
+#[derive(Subcommand)]
+enum Command {
+    /// Run one marshal in the foreground, until SIGTERM or SIGINT
+    Serve(Files),
+    /// Read and check both files, say what is in force and where it comes from, and end
+    Check(Files),
+    /// Say the version
+    Version,
+}
 
-NODE_NAME, NODE_LISTEN and NODE_DISCOVERY are stronger than the file. On SIGHUP serve reads the file again: then
-the addresses of discovery and the platform are as the file says, and all else waits for the next start.
-";
+#[derive(Args)]
+pub struct Files {
+    /// The platform's configuration, a JSON file; else the one that NODE_CONFIG names
+    #[arg(long, value_name = "FILE")]
+    config: Option<PathBuf>,
+    /// The operator's settings, an INI file (deploy/operator.ini shows the defaults)
+    #[arg(long, value_name = "FILE")]
+    operator: Option<PathBuf>,
+    /// error, warn, info, debug or trace
+    #[arg(long, value_name = "LEVEL", default_value = "info")]
+    log: LevelFilter,
+}
 
 fn main() -> ExitCode {
-    let mut args = Arguments::from_env();
-    if args.contains(["-h", "--help"]) {
-        print!("{USAGE}");
-        return ExitCode::SUCCESS;
-    }
-    match run(args) {
+    // Usage that can't be read ends with 2, by clap.
+    let line = Line::parse();
+    match run(line.command) {
         Ok(()) => ExitCode::SUCCESS,
         Err(why) => {
             eprintln!("stonescale: {why}");
@@ -52,28 +70,21 @@
     }
 }
 
-fn run(mut args: Arguments) -> Result<(), String> {
-    let usage = |why: String| format!("{why}\n{USAGE}");
-    let command = args.subcommand().map_err(|e| usage(e.to_string()))?;
-    let file: Option<PathBuf> = args.opt_value_from_str("--config").map_err(|e| usage(e.to_string()))?;
-    let level: Option<LevelFilter> = args.opt_value_from_str("--log").map_err(|e| usage(e.to_string()))?;
-    if let Some(other) = args.finish().first() {
-        return Err(usage(format!("'{}' is not known here", other.to_string_lossy())));
-    }
-    match command.as_deref() {
-        Some("serve") => {
-            logger::start(level.unwrap_or(LevelFilter::Info));
-            serve::serve(&startup::place(file)?)
-        }
-        Some("check") => {
-            println!("{}", serve::check(&startup::read(&startup::place(file)?)?)?);
+fn run(command: Command) -> Result<(), String> {
+    match command {
+        Command::Serve(files) => serve::serve(files),
+        Command::Check(files) => {
+            let (said, in_force) = serve::check(&files)?;
+            println!("{said}");
+            for row in in_force {
+                let from = row.line.map_or("default".into(), |line| format!("line {line}"));
+                println!("[{}] {} = {} ({from})", row.section, row.key, row.value);
+            }
             Ok(())
         }
-        Some("version") => {
+        Command::Version => {
             println!("stonescale {}", env!("CARGO_PKG_VERSION"));
             Ok(())
         }
-        Some(other) => Err(usage(format!("'{other}' is not a command"))),
-        None => Err(usage("no command".into())),
     }
 }
--- a/crates/marshal/src/nodes.rs
+++ b/crates/marshal/src/nodes.rs
@@ -8,7 +8,6 @@
 use crate::reactor::Async;
 use crate::turn::{Signal, Turn, connect, quiet, read_some, turn, write_pieces, write_some};
 use async_executor::LocalExecutor;
-use log::{debug, info, warn};
 use std::cell::{Cell, RefCell};
 use std::collections::VecDeque;
 use std::net::{SocketAddr, TcpStream};
@@ -20,6 +19,7 @@
 use stonescale_budget::plan::LINK;
 use stonescale_budget::{Buffer, Charge, Ledger, Purpose, Refused};
 use stonescale_formats::resp::{Bounds, Kind, Scanner};
+use tracing::{debug, info, warn};
 
 const BOUNDS: Bounds = Bounds { parts: 8, bulk: VALUE, line: 1024, whole: VALUE + 4 * 1024 };
 /// Of the time in which a node closes an idle connection: by then the marshal has closed it itself.
--- a/crates/marshal/src/platform.rs
+++ b/crates/marshal/src/platform.rs
@@ -6,7 +6,6 @@
 use crate::reactor::{Async, Timer};
 use crate::turn::{Signal, Turn, connect, read_some, turn, write_some};
 use async_executor::LocalExecutor;
-use log::{info, warn};
 use rand::{RngExt, SeedableRng};
 use rand_pcg::Pcg64Mcg;
 use serde_json::{Value, json};
@@ -20,6 +19,7 @@
 use stonescale_budget::{Buffer, Ledger, Purpose};
 use stonescale_formats::lines::Lines;
 use stonescale_formats::rpc::{self, Listener};
+use tracing::{info, warn};
 
 /// A sign of life comes every second, by the protocol page: after three, the connection may be dead.
 const SILENCE: Duration = Duration::from_millis(3_200);
--- a/crates/marshal/tests/memory.rs
+++ b/crates/marshal/tests/memory.rs
@@ -5,6 +5,7 @@
 use stonescale_lab::World;
 use stonescale_lab::load::{Plan, Tally};
 use stonescale_lab::node::{Manner, Mood};
+use stonescale_lab::program::fresh_path;
 use stonescale_lab::rogue::Manner as Rogue;
 use stonescale_lab::site::{Limits, PUSH, READ};
 
@@ -141,3 +142,63 @@
     all_is_back(&world);
     assert_eq!(world.books.verdict(), "");
 }
+
+// What operators see and set.
+
+fn world_with(operator: &str) -> (World, std::path::PathBuf) {
+    let path = fresh_path("ini");
+    std::fs::write(&path, operator).unwrap();
+    let binary = Path::new(env!("CARGO_BIN_EXE_stonescale"));
+    let args = ["--operator", path.to_str().unwrap()];
+    (World::start(binary, 2, Limits { memory_mb: 8, sockets: 256 }, &Manner::default(), &args).unwrap(), path)
+}
+
+const LONG: Duration = Duration::from_secs(20);
+
+#[test]
+fn on_sigusr1_every_purpose_is_reported_with_what_it_holds() {
+    let (world, _path) = world_with("[memory]\nreport_every = 0\n[log]\nlines_per_second = 1000\n");
+    world.program.signal("USR1");
+    let line = world.program.logged("memory of the process", LONG).unwrap();
+    assert!(line.contains("resident=") && line.contains("unaccounted="), "{line}");
+    for purpose in ["clients", "halves", "owed", "log", "work.read", "work.book"] {
+        let line = world.program.logged(&format!("purpose=\"{purpose}\""), LONG).unwrap();
+        let fields = ["held=", "cap=", "reserve=", "high=", "refusals=", "reclaimed=", "level=\"easy\""];
+        assert!(fields.iter().all(|f| line.contains(f)), "{line}");
+    }
+}
+
+#[test]
+fn the_report_comes_by_itself_as_json_where_the_operator_wants_it() {
+    let (world, _path) =
+        world_with("[memory]\nreport_every = 250ms\n[log]\nformat = json\nlines_per_second = 1000\n");
+    let line = world.program.logged("memory by purpose", LONG).unwrap();
+    let event: serde_json::Value = serde_json::from_str(&line).unwrap();
+    assert_eq!(event["purpose"], "clients");
+    assert!(event["cap"].as_u64() > Some(0) && event["level"] == "easy", "{line}");
+}
+
+#[test]
+fn a_change_of_level_is_told_and_a_reserve_under_pressure_stays_its_owners() {
+    let (world, _path) = world_with("[memory.halves]\ncap = 8%\n");
+    let halves = world.rogues(Rogue::Half, 40, PUSH, 65_000);
+    let line = world.program.logged("memory level", LONG).unwrap();
+    assert!(line.contains("purpose=\"halves\"") && line.contains("from=\"easy\""), "{line}");
+    drop(halves);
+    let line = world.program.logged("memory level", LONG).unwrap();
+    assert!(line.contains("to=\"easy\"") || line.contains("to=\"tight\""), "{line}");
+}
+
+#[test]
+fn sighup_takes_the_operators_file_whole_or_not_at_all() {
+    let (world, path) = world_with("[memory]\nreport_every = 0\n");
+    std::fs::write(&path, "[memory]\nreport_every = 250ms\n[memory.hats]\ncap = 1%\n").unwrap();
+    world.program.signal("HUP");
+    let line = world.program.logged("it is faulty", LONG).unwrap();
+    assert!(line.contains("[memory.hats] is no section here") && line.contains("line 3"), "{line}");
+    std::fs::write(&path, "[memory]\nreport_every = 250ms\n[log]\nformat = json\n").unwrap();
+    world.program.signal("HUP");
+    let line = world.program.logged("needing a new start", LONG).unwrap();
+    assert!(line.contains("[log] format"), "{line}");
+    world.program.logged("memory by purpose", LONG).unwrap();
+}
