A soak that judges whether memory stays flat, a demo for newcomers, mutants that leak, blocks given back

Need: slow growth worries operators more than a crash; and a newcomer could build the daemon and had nothing to run it with. Change: stonescale-lab soak FILE runs a marshal among eighteen kinds of trouble in cycles, reads its reports, and judges the slope of each purpose with its bound (exit 3 where a tolerance is missed); demo offers a good and a bad build to a fleet on loopback. A feature for tests leaks 200 bytes a hit, or one connection in a hundred. The daemon starts itself once more with the allocator told to map blocks from 32 KiB on.

--- a/crates/lab/src/checker.rs
+++ b/crates/lab/src/checker.rs
@@ -14,6 +14,9 @@
     /// Time after which a lower cap binds.
     pub cap_grace: Span,
     pub sockets: Span,
+    /// Over each window of this length, exposure is counted. Hits that were taken before a cap rose count with the
+    /// higher one.
+    pub window: Span,
     /// Forwards over the cap that pass, and the part of the cap that passes besides.
     pub allowance: f64,
     pub over_cap: f64,
@@ -22,7 +25,14 @@
 impl Default for Bounds {
     fn default() -> Self {
         let (drain_grace, cap_grace) = (Span::millis(1_000), Span::millis(1_000));
-        Bounds { drain_grace, cap_grace, sockets: Span::millis(50), allowance: 1.0 + 2.0, over_cap: 1.04 }
+        Bounds {
+            drain_grace,
+            cap_grace,
+            sockets: Span::millis(50),
+            window: Span::millis(1_000),
+            allowance: 1.0 + 2.0,
+            over_cap: 1.04,
+        }
     }
 }
 
@@ -102,8 +112,9 @@
     caps: BTreeMap<u16, Cap>,
     newest: Option<(u16, bool)>,
     first_cap: f64,
-    /// How far forwards to each build on trial are over its cap by now.
-    over: BTreeMap<u16, f64>,
+    /// When hits were taken lately, and when forwards went to each build on trial.
+    taken: VecDeque<Time>,
+    exposed: BTreeMap<u16, VecDeque<Time>>,
     marks: HashMap<String, Time>,
     pub violations: Vec<Violation>,
     pub broken: u64,
@@ -133,7 +144,8 @@
             caps: BTreeMap::new(),
             newest: None,
             first_cap,
-            over: BTreeMap::new(),
+            taken: VecDeque::new(),
+            exposed: BTreeMap::new(),
             marks: HashMap::new(),
             violations: Vec::new(),
             broken: 0,
@@ -154,16 +166,18 @@
         let hit = Hit { asked, sent: now, ended: None, left: false, forwards: 0, refused: 0, runs: 0 };
         self.hits.insert(id.to_owned(), hit);
         self.order.push_back((now, id.to_owned()));
-        let builds: Vec<u16> = self.over.keys().copied().collect();
-        for build in builds {
-            let cap = self.cap(build, now);
-            if let Some(over) = self.over.get_mut(&build) {
-                *over = (*over - cap.unwrap_or(1.0) * self.bounds.over_cap).max(0.0);
-            }
-        }
+        self.taken(now);
         self.forget(now);
     }
 
+    /// A hit has come whole, also one of a client that is not in the books: caps are shares of all.
+    pub fn taken(&mut self, now: Time) {
+        self.taken.push_back(now);
+        while self.taken.front().is_some_and(|at| now - *at > self.bounds.window) {
+            self.taken.pop_front();
+        }
+    }
+
     fn forget(&mut self, now: Time) {
         while let Some((at, id)) = self.order.front() {
             let done = self.hits.get(id).is_none_or(|h| h.ended.is_some() || h.left);
@@ -235,17 +249,22 @@
             let late = (now - told).seconds();
             self.breaks(3, now, format!("{node} was sent hit {id} {late:.3} s after it was told to drain"));
         }
-        if let Some(cap) = self.cap(listed.build, now) {
-            let over = self.over.entry(listed.build).or_default();
-            *over += 1.0;
-            let (over, most) = (*over, self.bounds.allowance);
-            if over > most {
-                self.breaks(
-                    5,
-                    now,
-                    format!("build {} got {over:.1} forwards over {cap} of the hits", listed.build),
-                );
-            }
+        let Some(cap) = self.cap(listed.build, now) else { return };
+        let Bounds { window, allowance, over_cap, .. } = self.bounds;
+        let exposed = self.exposed.entry(listed.build).or_default();
+        exposed.push_back(now);
+        while exposed.front().is_some_and(|at| now - *at > window) {
+            exposed.pop_front();
+        }
+        let got = exposed.len();
+        let taken = self.taken.iter().filter(|at| now - **at <= window).count();
+        if got as f64 > allowance + cap * over_cap * taken as f64 {
+            let build = listed.build;
+            self.breaks(
+                5,
+                now,
+                format!("build {build} got {got} forwards of {taken} hits at a cap of {cap}"),
+            );
         }
     }
 
@@ -297,7 +316,7 @@
             let recent = now - at.since <= self.bounds.cap_grace;
             *at = Cap { now: cap, since: now, before: if recent { at.before.max(at.now) } else { at.now } };
         }
-        self.over.retain(|of, _| *of >= build);
+        self.exposed.retain(|of, _| *of >= build);
     }
 
     /// The cap of a build on trial; none for builds that are not.
--- a/crates/lab/src/lib.rs
+++ b/crates/lab/src/lib.rs
@@ -6,18 +6,27 @@
 //! - [`site`]: settings and configuration of a small site; [`program`]: a marshal as a process, watched from outside.
 //! - [`world`]: all of these put together, with one marshal.
 //! - [`checker`]: books of its own on every hit and forward, and which of the five rules broke.
+//! - [`release`], [`faults`]: what happens to a site, as decisions without I/O.
+//! - [`soak`], [`demo`]: long and short runs of a world; [`trend`] judges what was seen, [`plot`] draws it.
 //!
 //! Handles are plain values: stories are written as ordinary code, while the stand-ins live on their own thread.
 
 pub mod checker;
+pub mod demo;
 pub mod discovery;
+pub mod faults;
 pub mod load;
 pub mod node;
 pub mod platform;
+pub mod plot;
 pub mod program;
+pub mod release;
 pub mod rogue;
+pub mod rollout;
 pub mod site;
+pub mod soak;
 pub mod stage;
+pub mod trend;
 pub mod wire;
 pub mod world;
 
--- a/crates/lab/src/node.rs
+++ b/crates/lab/src/node.rs
@@ -111,6 +111,8 @@
     pub heard: Receiver<Vec<String>>,
     changed: Sender<()>,
     change: Receiver<()>,
+    /// Closed, it takes no more connections.
+    end: Sender<()>,
 }
 
 /// Commands noted for a story; what goes past it is forgotten.
@@ -121,6 +123,7 @@
         let (listener, addr) = stage.listen();
         let (told, heard) = async_channel::bounded(HEARD);
         let (changed, change) = async_channel::bounded(1);
+        let (end, ended) = async_channel::bounded(1);
         let cores = vec![Instant::now(); manner.cores.max(1)];
         let inner = Inner {
             mood: Mood::default(),
@@ -134,8 +137,12 @@
         };
         let inner = Arc::new(Mutex::new(inner));
         let clock = stage.clock;
-        let node = Node { name: name.to_owned(), addr, inner, clock, books, told, heard, changed, change };
-        stage.spawn(node.clone().accept(stage.tasks(), listener));
+        let node =
+            Node { name: name.to_owned(), addr, inner, clock, books, told, heard, changed, change, end };
+        let accept = node.clone().accept(stage.tasks(), listener);
+        stage.spawn(or(accept, async move {
+            let _ = ended.recv().await;
+        }));
         node
     }
 
@@ -168,6 +175,12 @@
         let _ = self.changed.try_send(());
     }
 
+    /// Its process ends for good.
+    pub fn stop(&self) {
+        self.restart();
+        self.end.close();
+    }
+
     pub fn connections(&self) -> usize {
         self.lock().connections
     }
--- a/crates/lab/src/program.rs
+++ b/crates/lab/src/program.rs
@@ -46,7 +46,10 @@
         std::fs::write(&path, config.to_string()).map_err(|e| format!("{}: {e}", path.display()))?;
         let mut command = Command::new(binary);
         command.arg("serve").arg("--config").arg(&path).args(args);
-        command.env_clear().stdin(Stdio::null()).stdout(Stdio::null()).stderr(Stdio::piped());
+        command.env_clear();
+        // Which deliberate fault a build for tests is to have.
+        command.envs(std::env::var("STONESCALE_MUTANT").map(|mutant| ("STONESCALE_MUTANT", mutant)));
+        command.stdin(Stdio::null()).stdout(Stdio::null()).stderr(Stdio::piped());
         let mut child = command.spawn().map_err(|e| format!("{}: {e}", binary.display()))?;
         let stderr = child.stderr.take().ok_or("no log")?;
         let (tell, log) = sync_channel(LINES);
--- a/crates/lab/src/rogue.rs
+++ b/crates/lab/src/rogue.rs
@@ -1,8 +1,9 @@
 //! Clients that misbehave, by the kind. None of their hits is in the books: what counts is what becomes of the others.
 
+use crate::checker::Books;
 use crate::load::{Kind, words};
 use crate::site::Group;
-use crate::stage::{Stage, Stream};
+use crate::stage::{Clock, Stage, Stream};
 use crate::wire::{self, Messages};
 use async_io::Timer;
 use futures_lite::AsyncReadExt;
@@ -38,7 +39,8 @@
 
 impl Rogues {
     pub fn start(
-        stage: &Stage, manner: Manner, many: usize, addr: SocketAddr, group: &Group, kind: &Kind,
+        stage: &Stage, books: &Books, manner: Manner, many: usize, addr: SocketAddr,
+        (group, kind): (&Group, &Kind),
     ) -> Self {
         let ended = Arc::new(AtomicBool::new(false));
         let (sent, answered) = (Arc::new(AtomicU64::new(0)), Arc::new(AtomicU64::new(0)));
@@ -52,6 +54,8 @@
                 ended: ended.clone(),
                 sent: sent.clone(),
                 answered: answered.clone(),
+                books: books.clone(),
+                clock: stage.clock,
             };
             stage.spawn(rogue.run());
         }
@@ -74,6 +78,8 @@
     ended: Arc<AtomicBool>,
     sent: Arc<AtomicU64>,
     answered: Arc<AtomicU64>,
+    books: Books,
+    clock: Clock,
 }
 
 /// Between a connection that ended and the next one, so that nobody spins.
@@ -101,6 +107,7 @@
     fn command(&mut self) -> Vec<u8> {
         self.number += 1;
         self.sent.fetch_add(1, Ordering::Relaxed);
+        self.books.lock().taken(self.clock.now());
         let id = format!("f{:015x}", self.number);
         words(&self.group, &id, self.number, self.number, &self.kind, false).0
     }
--- a/crates/lab/src/site.rs
+++ b/crates/lab/src/site.rs
@@ -50,7 +50,7 @@
         "realms": [{"name": "acme", "share": 1.0}],
         "limits": {"attempts_cap": 5, "cancelling": true, "second_copies": true, "retry_after": true,
             "max_retry_after_ns": 250_000_000u64, "connect_timeout_ns": 250_000_000u64,
-            "keepalive_ns": 15_000_000_000u64, "multiplex": 100},
+            "keepalive_ns": 3_000_000_000u64, "multiplex": 100},
         "membership_mode": "ask",
         "rules": {"ask_within_ns": 10_000_000_000u64, "cold_from": 0.3, "warm_up_ns": 1_000_000_000u64,
             "fall_multiple": 2.0},
--- a/crates/lab/src/world.rs
+++ b/crates/lab/src/world.rs
@@ -55,7 +55,7 @@
     /// Clients that misbehave, with hits of this path group.
     pub fn rogues(&self, manner: rogue::Manner, many: usize, group: usize, body: usize) -> Rogues {
         let kind = Kind { group, share: 1.0, body, patience: Duration::from_millis(1_500) };
-        Rogues::start(&self.stage, manner, many, self.program.addr, &self.groups[group], &kind)
+        Rogues::start(&self.stage, &self.books, manner, many, self.program.addr, (&self.groups[group], &kind))
     }
 
     pub fn mood(&self, mood: Mood) {
@@ -84,6 +84,7 @@
     pub fn state(&mut self, names: &[String], state: &str) {
         self.discovery.change(names, |entry| entry.state = state.into());
         if state == "removed" {
+            self.nodes.iter().filter(|n| names.contains(&n.name)).for_each(Node::stop);
             self.nodes.retain(|n| !names.contains(&n.name));
         }
     }
--- a/crates/marshal/src/clients.rs
+++ b/crates/marshal/src/clients.rs
@@ -150,6 +150,8 @@
                 yield_now().await;
             }
         }
+        #[cfg(feature = "mutants")]
+        crate::mutants::connection(stream.clone());
         let unanswered = client.leaves();
         drop(stream);
         if !unanswered.is_empty() {
--- a/crates/marshal/src/core.rs
+++ b/crates/marshal/src/core.rs
@@ -329,6 +329,8 @@
         if client.gone.get() {
             return;
         }
+        #[cfg(feature = "mutants")]
+        crate::mutants::hit();
         let now = self.doors.now;
         self.doors.last_hit = self.doors.last_hit.wrapping_add(1);
         let hit = self.doors.last_hit;
--- a/crates/marshal/src/main.rs
+++ b/crates/marshal/src/main.rs
@@ -1,5 +1,6 @@
 //! The command line of one stonescale marshal.
 
+mod allocator;
 mod client;
 mod clients;
 mod clock;
@@ -10,6 +11,8 @@
 mod inbox;
 mod logger;
 mod memory;
+#[cfg(feature = "mutants")]
+mod mutants;
 mod nodes;
 mod platform;
 mod reactor;
@@ -72,7 +75,10 @@
 
 fn run(command: Command) -> Result<(), String> {
     match command {
-        Command::Serve(files) => serve::serve(files),
+        Command::Serve(files) => {
+            allocator::settle();
+            serve::serve(files)
+        }
         Command::Check(files) => {
             let (said, in_force) = serve::check(&files)?;
             println!("{said}");
