--- a/crates/budget/src/plan.rs
+++ b/crates/budget/src/plan.rs
@@ -45,13 +45,14 @@
 
 /// Half-read commands and answers owed have small reserves: a few whole messages, so that small hits pass beside
 /// a flood of large ones. Hits in work have the largest, as they are what the rest is for.
-const DEFAULT: [(&str, Share); 10] = [
+const DEFAULT: [(&str, Share); 11] = [
     ("halves", Share { cap: 0.25, reserve: 0.06 }),
     ("work", Share { cap: 0.50, reserve: 0.25 }),
     ("owed", Share { cap: 0.25, reserve: 0.06 }),
     ("links", Share { cap: 0.25, reserve: 0.06 }),
     ("answers", Share { cap: 0.25, reserve: 0.06 }),
-    ("core", Share { cap: 0.25, reserve: 0.12 }),
+    ("core", Share { cap: 0.20, reserve: 0.08 }),
+    ("nodes", Share { cap: 0.20, reserve: 0.04 }),
     ("timers", Share { cap: 0.12, reserve: 0.03 }),
     ("discovery", Share { cap: 0.25, reserve: 0.06 }),
     ("platform", Share { cap: 0.04, reserve: 0.01 }),
@@ -195,6 +196,7 @@
             // The command, and the room in which its answer is copied.
             Purpose::Work(_) => MESSAGE + HIT,
             Purpose::Core => 64 * HIT,
+            Purpose::Nodes => 32 * NODE,
             Purpose::Timers => 64 * HIT_TIMERS,
             Purpose::Discovery => 64 * KIB,
             Purpose::Platform | Purpose::Log => 16 * KIB,
--- a/crates/budget/src/purpose.rs
+++ b/crates/budget/src/purpose.rs
@@ -15,8 +15,10 @@
     Links,
     /// Answers of nodes that have not come whole.
     Answers,
-    /// Hits, nodes, builds and keys in the core.
+    /// Records of hits in work, besides their commands.
     Core,
+    /// What is known of nodes.
+    Nodes,
     /// Timers.
     Timers,
     /// The node list while it is read.
@@ -30,13 +32,14 @@
 }
 
 /// The purposes that every marshal has; one for each path group follows.
-pub const FIXED: [Purpose; 10] = [
+pub const FIXED: [Purpose; 11] = [
     Purpose::Clients,
     Purpose::Halves,
     Purpose::Owed,
     Purpose::Links,
     Purpose::Answers,
     Purpose::Core,
+    Purpose::Nodes,
     Purpose::Timers,
     Purpose::Discovery,
     Purpose::Platform,
@@ -69,6 +72,7 @@
             Purpose::Links => "links",
             Purpose::Answers => "answers",
             Purpose::Core => "core",
+            Purpose::Nodes => "nodes",
             Purpose::Timers => "timers",
             Purpose::Discovery => "discovery",
             Purpose::Platform => "platform",
@@ -140,7 +144,8 @@
         Purpose::Owed => rule(Full::Close, Reclaim::Unread, Reclaim::Stuck),
         Purpose::Links => rule(Full::Unsent, Reclaim::Idle, Reclaim::Idle),
         Purpose::Answers => rule(Full::Wait, Reclaim::Shrink, Reclaim::Shrink),
-        Purpose::Core => rule(Full::LeaveOut, Reclaim::Gone, Reclaim::Gone),
+        Purpose::Core => rule(Full::Bounce, Reclaim::Nothing, Reclaim::Nothing),
+        Purpose::Nodes => rule(Full::LeaveOut, Reclaim::Gone, Reclaim::Gone),
         Purpose::Timers => rule(Full::Bounce, Reclaim::Shrink, Reclaim::Shrink),
         Purpose::Discovery => rule(Full::Close, Reclaim::Shrink, Reclaim::Shrink),
         Purpose::Platform => rule(Full::Close, Reclaim::Shrink, Reclaim::Shrink),
--- a/crates/budget/tests/ledger.rs
+++ b/crates/budget/tests/ledger.rs
@@ -37,9 +37,9 @@
 fn step() -> impl Strategy<Value = Step> {
     let bytes = prop_oneof![0..200usize, 0..(1usize << 20)];
     prop_oneof![
-        (0..14usize, bytes.clone()).prop_map(|(p, n)| Step::Charge(p, n)),
+        (0..15usize, bytes.clone()).prop_map(|(p, n)| Step::Charge(p, n)),
         (any::<usize>(), bytes.clone()).prop_map(|(c, n)| Step::Resize(c, n)),
-        (any::<usize>(), 0..14usize).prop_map(|(c, p)| Step::Shift(c, p)),
+        (any::<usize>(), 0..15usize).prop_map(|(c, p)| Step::Shift(c, p)),
         (any::<usize>(), bytes).prop_map(|(c, n)| Step::Split(c, n)),
         (any::<usize>(), any::<usize>()).prop_map(|(c, d)| Step::Join(c, d)),
         any::<usize>().prop_map(Step::Free),
--- a/crates/lab/src/world.rs
+++ b/crates/lab/src/world.rs
@@ -54,7 +54,14 @@
 
     /// Clients that misbehave, with hits of this path group.
     pub fn rogues(&self, manner: rogue::Manner, many: usize, group: usize, body: usize) -> Rogues {
-        let kind = Kind { group, share: 1.0, body, patience: Duration::from_millis(1_500) };
+        self.patient_rogues(manner, many, group, body, Duration::from_millis(1_500))
+    }
+
+    /// The same, with hits that say how long they wait.
+    pub fn patient_rogues(
+        &self, manner: rogue::Manner, many: usize, group: usize, body: usize, patience: Duration,
+    ) -> Rogues {
+        let kind = Kind { group, share: 1.0, body, patience };
         Rogues::start(&self.stage, &self.books, manner, many, self.program.addr, (&self.groups[group], &kind))
     }
 
--- a/crates/marshal/src/core.rs
+++ b/crates/marshal/src/core.rs
@@ -9,13 +9,14 @@
 use crate::inbox::{Arrival, Entry, Inbox, News, Outcome, Stage};
 use crate::nodes::{Link, Nodes};
 use crate::platform::Platform;
-use crate::reactor::Timer;
+use crate::reactor;
 use futures_lite::future::{or, yield_now};
 use std::cmp::Reverse;
-use std::collections::{BinaryHeap, HashMap};
+use std::collections::{BinaryHeap, HashMap, HashSet};
 use std::rc::Rc;
 use stonescale::host::{Fate, Host, Listing, Verdict};
 use stonescale::policy::Marshal;
+use stonescale::state::Timer;
 use stonescale::time::{Span, Time};
 use stonescale_budget::buffer::Block;
 use stonescale_budget::plan::NODE;
@@ -27,6 +28,9 @@
 /// Arrivals taken in one batch: then news and outcomes have their turn again.
 const BATCH: usize = 64;
 
+/// Timers that stand before any are looked through: a second of the deployment's traffic.
+const LEAST_DUE: usize = 1_024;
+
 /// What comes due. The order is the one in which things due at the same time are seen to.
 #[derive(Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
 enum Due {
@@ -35,6 +39,20 @@
     Sweep,
 }
 
+impl Due {
+    /// The hit that it is for, if it is for one.
+    fn hit(self) -> Option<u32> {
+        match self {
+            Due::Forward(hit, _) => Some(hit),
+            Due::Sweep => None,
+            Due::Token(token) => match Timer::from(token) {
+                Timer::Ends(hit) | Timer::Copy(hit, _) => Some(hit),
+                Timer::Look | Timer::Ask => None,
+            },
+        }
+    }
+}
+
 /// A hit that is not done with: its answer, or the end of a forward, is still to come.
 struct Open {
     client: Rc<Client>,
@@ -57,12 +75,16 @@
     clock: Clock,
     now: Time,
     due: BinaryHeap<Reverse<(Time, u64, Due)>>,
+    /// Entries past which those of hits that are done with are thrown out.
+    due_most: usize,
     set: u64,
     hits: HashMap<u32, Open>,
     last_hit: u32,
     ledger: Ledger,
     /// Numbers of nodes by their listed ids, and numbers that are free again.
     ids: HashMap<String, (usize, Charge)>,
+    /// For the present list, room was made for nodes already.
+    swept: bool,
     free: Vec<usize>,
     inbox: Rc<Inbox>,
     nodes: Nodes,
@@ -82,11 +104,13 @@
             clock,
             now,
             due,
+            due_most: LEAST_DUE,
             set: 0,
             hits,
             last_hit: 0,
             ledger,
             ids,
+            swept: false,
             free,
             inbox,
             nodes,
@@ -96,6 +120,13 @@
     }
 
     fn at(&mut self, time: Time, due: Due) {
+        if self.due.len() >= self.due_most {
+            // A client may wait for minutes and be answered at once: its timers must not pile up until then.
+            let hits = &self.hits;
+            self.due.retain(|Reverse((_, _, due))| due.hit().is_none_or(|hit| hits.contains_key(&hit)));
+            self.due_most = LEAST_DUE.max(self.due.len() * 2);
+            self.due.shrink_to(self.due_most);
+        }
         self.set += 1;
         self.due.push(Reverse((time, self.set, due)));
     }
@@ -109,18 +140,29 @@
         if let Some((number, _)) = self.ids.get(&id) {
             return Some(*number);
         }
-        let charge = self.ledger.charge(Purpose::Core, NODE).ok()?;
+        let charge = self.ledger.charge(Purpose::Nodes, NODE).or_else(|_| {
+            // Those that are gone make room before their time; once a list, as that looks at them all.
+            let freed = if std::mem::replace(&mut self.swept, true) { 0 } else { self.forget(true) * NODE };
+            self.ledger.reclaimed(Purpose::Nodes, freed);
+            self.ledger.charge(Purpose::Nodes, NODE)
+        });
+        let charge = charge.ok()?;
         let next = self.ids.len() + self.free.len();
         let number = self.free.pop().unwrap_or(next);
         self.ids.insert(id, (number, charge));
         Some(number)
     }
 
-    /// Looks after idle connections, and forgets nodes that are gone for long.
-    fn sweep(&mut self) {
-        let over = self.nodes.sweep();
-        self.ids.retain(|_, (number, _)| !over.contains(number));
-        self.free.extend(over);
+    /// Looks after idle connections, and forgets nodes that are gone for long (or at all, where room is `short`);
+    /// returns how many.
+    fn forget(&mut self, short: bool) -> usize {
+        let over = self.nodes.sweep(short);
+        if !over.is_empty() {
+            let gone: HashSet<usize> = over.iter().copied().collect();
+            self.ids.retain(|_, (number, _)| !gone.contains(number));
+            self.free.extend(&over);
+        }
+        over.len()
     }
 
     /// Answers a hit, once.
@@ -221,7 +263,7 @@
                 let due = self.doors.next_due().map(|at| self.doors.clock.instant(at));
                 let due = async {
                     match due {
-                        Some(at) => Timer::at(at).await,
+                        Some(at) => reactor::Timer::at(at).await,
                         None => std::future::pending().await,
                     }
                 };
@@ -253,7 +295,7 @@
                 Due::Token(token) => self.marshal.woken(&mut self.doors, now, token),
                 Due::Forward(hit, hop) => self.doors.give_up(hit, hop, Ending::WaitedOut),
                 Due::Sweep => {
-                    self.doors.sweep();
+                    self.doors.forget(false);
                     debug!(
                         "{} hits open, {} taken so far, {} node connections",
                         self.doors.hits.len(),
@@ -298,7 +340,8 @@
     pub fn listed(&mut self, how: Listing, entries: Vec<Entry>) {
         debug!("list: {how:?}, {} entries", entries.len());
         let now = self.doors.now;
-        let (mut named, mut left_out) = (Vec::new(), 0);
+        let (mut named, mut left_out) = (HashSet::new(), 0);
+        self.doors.swept = false;
         self.marshal.told_list_opens(now, how);
         for (id, addr, place, readiness, build, started) in entries {
             let Some(at) = self.doors.number(id) else {
@@ -306,7 +349,7 @@
                 left_out += 1;
                 continue;
             };
-            named.push(at);
+            named.insert(at);
             self.doors.nodes.listed(at, addr, readiness, started);
             self.marshal.told_list_entry(at as u64, place, readiness, build, started);
         }
--- a/crates/marshal/src/discovery.rs
+++ b/crates/marshal/src/discovery.rs
@@ -23,9 +23,9 @@
 /// An empty line comes every 2 s, by the protocol page: after two without one, nothing will come.
 const SILENCE: Duration = Duration::from_millis(4_000);
 const UP_WITHIN: Duration = Duration::from_millis(1_000);
-/// Longest line: a list of thousands of nodes; and one part in so many of what the list may occupy while it is read,
+/// Longest line: a list of some twenty thousand nodes; and one part in so many of what the list may occupy while it is read,
 /// as a line stands beside the next one and beside its entries.
-const LINE: usize = 1 << 20;
+const LINE: usize = 4 << 20;
 const LINE_PART: usize = 4;
 /// What an entry occupies over the bytes that state it: its address, place and times take less room than their text.
 const ENTRIES: usize = 1;
--- a/crates/marshal/src/nodes.rs
+++ b/crates/marshal/src/nodes.rs
@@ -9,7 +9,7 @@
 use crate::turn::{Signal, Turn, connect, quiet, read_some, turn, write_pieces, write_some};
 use async_executor::LocalExecutor;
 use std::cell::{Cell, RefCell};
-use std::collections::VecDeque;
+use std::collections::{HashSet, VecDeque};
 use std::net::{SocketAddr, TcpStream};
 use std::rc::Rc;
 use std::time::{Duration, Instant};
@@ -207,7 +207,7 @@
     }
 
     /// A full list that left these nodes out: they are gone.
-    pub fn keep_only(&mut self, named: &[usize]) {
+    pub fn keep_only(&mut self, named: &HashSet<usize>) {
         for (at, stand) in self.stands.iter_mut().enumerate() {
             if let Some(stand) = stand.as_mut().filter(|_| !named.contains(&at)) {
                 stand.gone = stand.gone.or(Some(self.clock.now()));
@@ -305,8 +305,8 @@
     }
 
     /// Closes what has stood idle for long; the node would, and a hit might be lost on the way. Forgets nodes
-    /// that are gone for as long, and returns their numbers.
-    pub fn sweep(&mut self) -> Vec<usize> {
+    /// that are gone for as long, or at all where room is `short`, and returns their numbers.
+    pub fn sweep(&mut self, short: bool) -> Vec<usize> {
         let now = self.clock.now();
         for stand in self.stands.iter_mut().flatten() {
             stand.links.retain(|l| !l.retired.get());
@@ -314,7 +314,8 @@
                 link.finish(Ending::Idle);
             }
         }
-        let over = |s: &Stand| s.links.is_empty() && s.gone.is_some_and(|at| now - at >= self.idle);
+        let patience = if short { Span::ZERO } else { self.idle };
+        let over = |s: &Stand| s.links.is_empty() && s.gone.is_some_and(|at| now - at >= patience);
         let over = |(at, stand): (usize, &mut Option<Stand>)| stand.take_if(|stand| over(stand)).map(|_| at);
         self.stands.iter_mut().enumerate().filter_map(over).collect()
     }
--- a/crates/marshal/tests/memory.rs
+++ b/crates/marshal/tests/memory.rs
@@ -3,6 +3,7 @@
 use std::path::Path;
 use std::time::{Duration, Instant};
 use stonescale_lab::World;
+use stonescale_lab::discovery::Entry;
 use stonescale_lab::load::{Plan, Tally};
 use stonescale_lab::node::{Manner, Mood};
 use stonescale_lab::program::fresh_path;
@@ -143,6 +144,61 @@
     assert_eq!(world.books.verdict(), "");
 }
 
+#[test]
+fn hits_that_could_wait_for_minutes_leave_nothing_behind_once_they_are_answered() {
+    let world = world(8, 256);
+    let quick = world.patient_rogues(Rogue::Flood, 40, READ, 0, Duration::from_secs(600));
+    std::thread::sleep(Duration::from_millis(500));
+    let before = world.program.sample().unwrap().resident;
+    let answered = || quick.answered.load(std::sync::atomic::Ordering::Relaxed);
+    let first = answered();
+    let most = world.most_resident(|| answered() - first > 30_000);
+    assert!(most < before + MIB, "resident {before}, then {most}");
+}
+
+// Lists of nodes, long and ever new.
+
+fn strangers(ids: std::ops::Range<usize>, state: &str) -> Vec<Entry> {
+    let addr = ([127, 0, 0, 1], 9).into();
+    let entry = |id| Entry { state: state.into(), ..Entry::up(&format!("stranger-{id}"), addr, 3) };
+    ids.map(entry).collect()
+}
+
+#[test]
+fn a_list_of_ten_thousand_nodes_is_taken_as_far_as_there_is_room_and_hits_go_on() {
+    let world = world(32, 256);
+    let reads = world.load(Plan::reads(100.0, 3));
+    world.discovery.list(strangers(0..10_000, "draining"));
+    let line = world.program.logged("are left out", LONG).unwrap();
+    assert!(line.contains("nodes of the list"), "{line}");
+    let most = during(&world, TROUBLE / 2);
+    let tally = reads.finish().swap_remove(READ);
+    assert!(most < 32 * MIB, "resident {most}");
+    assert!(share(&tally, tally.delivered) > 0.95, "{} of {}", tally.delivered, tally.asked);
+    assert_eq!(world.books.verdict(), "");
+}
+
+#[test]
+fn a_line_without_end_and_lists_ever_new_leave_memory_flat() {
+    let world = world(8, 256);
+    let reads = world.load(Plan::reads(100.0, 3));
+    // A node's number is free again some seconds after it is gone: lists of a few hundred names a second.
+    let round = |number: usize| {
+        let ids = number * 100..number * 100 + 100;
+        world.discovery.list(strangers(ids.clone(), "draining"));
+        world.discovery.list(strangers(ids, "removed"));
+        std::thread::sleep(Duration::from_millis(100));
+    };
+    (0..40).for_each(round);
+    let before = world.program.sample().unwrap().resident;
+    (40..80).for_each(round);
+    world.discovery.say(Some("x".repeat(6 << 20)));
+    let most = during(&world, TROUBLE / 2);
+    let tally = reads.finish().swap_remove(READ);
+    assert!(most < before + MIB, "resident {before}, then {most}");
+    assert!(share(&tally, tally.delivered) > 0.95, "{} of {}", tally.delivered, tally.asked);
+}
+
 // What operators see and set.
 
 fn world_with(operator: &str) -> (World, std::path::PathBuf) {
--- a/crates/marshal/tests/sockets.rs
+++ b/crates/marshal/tests/sockets.rs
@@ -678,6 +678,8 @@
 #[case("seed", Value::Null, "seed is missing")]
 #[case("listen", json!("here"), "listen is not an address")]
 #[case("limits", json!({"sockets": 1024}), "limits.memory_mb is missing")]
+#[case("limits", json!({"sockets": 1024, "memory_mb": 4}), "limits.memory_mb: 4 MiB are too little")]
+#[case("limits", json!({"sockets": 256, "memory_mb": 2}), "KiB are missing")]
 #[case("platform", json!({"address": "127.0.0.1:1"}), "platform.news is missing")]
 #[case("platform", json!({"address": "127.0.0.1:1", "news": {"build": 4}}), "platform.news: stage is not")]
 #[case("known", json!({}), "known: missing field `version`")]
