--- a/crates/budget/src/buffer.rs
+++ b/crates/budget/src/buffer.rs
@@ -111,13 +111,18 @@
     /// Takes the first `length` bytes out as a block that is charged to `to`; refused, nothing changes. A buffer that
     /// holds just these hands over its own memory; else they are copied, and counted twice while they stand twice.
     pub fn take(&mut self, length: usize, to: Purpose) -> Result<Block, Refused> {
+        self.take_with(length, to, 0)
+    }
+
+    /// The same, with `more` bytes charged besides, for what is kept along with the block.
+    pub fn take_with(&mut self, length: usize, to: Purpose, more: usize) -> Result<Block, Refused> {
         let length = length.min(self.len());
         let ledger = self.charge.ledger();
         let alone = length == self.len() && self.head == 0;
         if alone && self.bytes.capacity() - length <= length / ROUNDING {
             let (from, size) = (self.charge.purpose(), self.charge.bytes());
             self.charge.shift(to)?;
-            if let Err(refused) = self.charge.resize(self.bytes.capacity()) {
+            if let Err(refused) = self.charge.resize(self.bytes.capacity() + more) {
                 // Back to where it came from, with what it held there.
                 self.charge.resize(size).and_then(|()| self.charge.shift(from))?;
                 return Err(refused);
@@ -126,7 +131,7 @@
             let bytes = std::mem::take(&mut self.bytes);
             return Ok(Block { range: 0..bytes.len(), bytes, charge });
         }
-        let charge = ledger.charge(to, length)?;
+        let charge = ledger.charge(to, length + more)?;
         let bytes = self.as_slice()[..length].to_vec();
         self.consume(length, LEAST);
         Ok(Block { range: 0..length, bytes, charge })
--- a/crates/budget/src/level.rs
+++ b/crates/budget/src/level.rs
@@ -54,6 +54,10 @@
     /// Takes in that `held` of `reach` bytes are in use; true where the level is another now. The only place where
     /// a level changes.
     pub fn see(&mut self, held: usize, reach: usize) -> bool {
+        // By far the most often nothing is pressed: that is told without a division.
+        if self.level == Level::Easy && held < reach / 2 {
+            return false;
+        }
         let fill = if reach == 0 { 1.0 } else { held as f64 / reach as f64 };
         let at_least = |marks: Marks, now: bool| fill >= if now { marks.leave } else { marks.enter };
         let next = if at_least(SHORT, self.level == Level::Short) {
--- a/crates/budget/src/plan.rs
+++ b/crates/budget/src/plan.rs
@@ -20,10 +20,9 @@
 /// of 500 more of each, divided (docs/results-memory.md), rounded up.
 pub const CLIENT: usize = 2 * KIB + LEAST;
 pub const LINK: usize = 2 * KIB + LEAST;
-/// A hit in work, besides its command: its record here and in the core, with three forwards.
-pub const HIT: usize = KIB;
-/// The timers of one hit: its end, and two for each of three forwards.
-pub const HIT_TIMERS: usize = 7 * 48;
+/// A hit in work, besides its command: its records here and in the core with three forwards, and twice its timers (its
+/// end, and two for each forward), as those of hits that are done with go when they are as many as the others.
+pub const HIT: usize = KIB + 2 * 7 * 48;
 /// A node: its listing, its row in the core, its names.
 pub const NODE: usize = KIB;
 /// The largest message: a value of 64 KiB, and what stands around it.
@@ -45,15 +44,13 @@
 
 /// Half-read commands and answers owed have small reserves: a few whole messages, so that small hits pass beside
 /// a flood of large ones. Hits in work have the largest, as they are what the rest is for.
-const DEFAULT: [(&str, Share); 11] = [
+const DEFAULT: [(&str, Share); 9] = [
     ("halves", Share { cap: 0.25, reserve: 0.06 }),
-    ("work", Share { cap: 0.50, reserve: 0.25 }),
+    ("work", Share { cap: 0.50, reserve: 0.32 }),
     ("owed", Share { cap: 0.25, reserve: 0.06 }),
     ("links", Share { cap: 0.25, reserve: 0.06 }),
     ("answers", Share { cap: 0.25, reserve: 0.06 }),
-    ("core", Share { cap: 0.20, reserve: 0.08 }),
     ("nodes", Share { cap: 0.20, reserve: 0.04 }),
-    ("timers", Share { cap: 0.12, reserve: 0.03 }),
     ("discovery", Share { cap: 0.25, reserve: 0.06 }),
     ("platform", Share { cap: 0.04, reserve: 0.01 }),
     ("log", Share { cap: 0.04, reserve: 0.01 }),
@@ -195,9 +192,7 @@
             Purpose::Halves | Purpose::Owed | Purpose::Links | Purpose::Answers => MESSAGE,
             // The command, and the room in which its answer is copied.
             Purpose::Work(_) => MESSAGE + HIT,
-            Purpose::Core => 64 * HIT,
             Purpose::Nodes => 32 * NODE,
-            Purpose::Timers => 64 * HIT_TIMERS,
             Purpose::Discovery => 64 * KIB,
             Purpose::Platform | Purpose::Log => 16 * KIB,
         }
--- a/crates/budget/src/purpose.rs
+++ b/crates/budget/src/purpose.rs
@@ -15,32 +15,26 @@
     Links,
     /// Answers of nodes that have not come whole.
     Answers,
-    /// Records of hits in work, besides their commands.
-    Core,
     /// What is known of nodes.
     Nodes,
-    /// Timers.
-    Timers,
     /// The node list while it is read.
     Discovery,
     /// Calls to the platform and its news.
     Platform,
     /// Lines of the log that are not written yet.
     Log,
-    /// Commands of hits in work, by the number of their path group.
+    /// Hits in work with their commands, records and timers, by the number of their path group.
     Work(u8),
 }
 
 /// The purposes that every marshal has; one for each path group follows.
-pub const FIXED: [Purpose; 11] = [
+pub const FIXED: [Purpose; 9] = [
     Purpose::Clients,
     Purpose::Halves,
     Purpose::Owed,
     Purpose::Links,
     Purpose::Answers,
-    Purpose::Core,
     Purpose::Nodes,
-    Purpose::Timers,
     Purpose::Discovery,
     Purpose::Platform,
     Purpose::Log,
@@ -71,9 +65,7 @@
             Purpose::Owed => "owed",
             Purpose::Links => "links",
             Purpose::Answers => "answers",
-            Purpose::Core => "core",
             Purpose::Nodes => "nodes",
-            Purpose::Timers => "timers",
             Purpose::Discovery => "discovery",
             Purpose::Platform => "platform",
             Purpose::Log => "log",
@@ -144,9 +136,7 @@
         Purpose::Owed => rule(Full::Close, Reclaim::Unread, Reclaim::Stuck),
         Purpose::Links => rule(Full::Unsent, Reclaim::Idle, Reclaim::Idle),
         Purpose::Answers => rule(Full::Wait, Reclaim::Shrink, Reclaim::Shrink),
-        Purpose::Core => rule(Full::Bounce, Reclaim::Nothing, Reclaim::Nothing),
         Purpose::Nodes => rule(Full::LeaveOut, Reclaim::Gone, Reclaim::Gone),
-        Purpose::Timers => rule(Full::Bounce, Reclaim::Shrink, Reclaim::Shrink),
         Purpose::Discovery => rule(Full::Close, Reclaim::Shrink, Reclaim::Shrink),
         Purpose::Platform => rule(Full::Close, Reclaim::Shrink, Reclaim::Shrink),
         Purpose::Log => rule(Full::LeaveOut, Reclaim::Nothing, Reclaim::Nothing),
--- a/crates/budget/tests/ledger.rs
+++ b/crates/budget/tests/ledger.rs
@@ -37,9 +37,9 @@
 fn step() -> impl Strategy<Value = Step> {
     let bytes = prop_oneof![0..200usize, 0..(1usize << 20)];
     prop_oneof![
-        (0..15usize, bytes.clone()).prop_map(|(p, n)| Step::Charge(p, n)),
+        (0..13usize, bytes.clone()).prop_map(|(p, n)| Step::Charge(p, n)),
         (any::<usize>(), bytes.clone()).prop_map(|(c, n)| Step::Resize(c, n)),
-        (any::<usize>(), 0..15usize).prop_map(|(c, p)| Step::Shift(c, p)),
+        (any::<usize>(), 0..13usize).prop_map(|(c, p)| Step::Shift(c, p)),
         (any::<usize>(), bytes).prop_map(|(c, n)| Step::Split(c, n)),
         (any::<usize>(), any::<usize>()).prop_map(|(c, d)| Step::Join(c, d)),
         any::<usize>().prop_map(Step::Free),
@@ -182,7 +182,7 @@
     let ledger = Ledger::new(&plan(8, 256));
     let mut half = ledger.charge(Purpose::Halves, ledger.room(Purpose::Halves)).unwrap();
     let mut rest = Vec::new();
-    for purpose in [Purpose::Owed, Purpose::Answers, Purpose::Links, Purpose::Core, Purpose::Discovery] {
+    for purpose in [Purpose::Owed, Purpose::Answers, Purpose::Links, Purpose::Nodes, Purpose::Discovery] {
         rest.push(ledger.charge(purpose, ledger.room(purpose)).unwrap());
     }
     let mut command = half.split(60_000);
--- a/crates/lab/src/lib.rs
+++ b/crates/lab/src/lib.rs
@@ -12,6 +12,7 @@
 //! Handles are plain values: stories are written as ordinary code, while the stand-ins live on their own thread.
 
 pub mod checker;
+pub mod cost;
 pub mod demo;
 pub mod discovery;
 pub mod faults;
--- a/crates/lab/src/main.rs
+++ b/crates/lab/src/main.rs
@@ -4,7 +4,7 @@
 use indicatif::{ProgressBar, ProgressStyle};
 use std::path::PathBuf;
 use std::process::ExitCode;
-use stonescale_lab::{demo, soak};
+use stonescale_lab::{cost, demo, soak};
 
 /// A stated tolerance was missed.
 const MISSED: u8 = 3;
@@ -28,6 +28,23 @@
         #[arg(long, value_name = "FILE", default_value = "stonescale-demo.svg")]
         plot: PathBuf,
     },
+    /// Time two builds of the marshal against each other, in turns within one run
+    Cost {
+        #[command(flatten)]
+        marshal: Marshal,
+        /// The build to compare with
+        #[arg(long, value_name = "FILE")]
+        versus: PathBuf,
+        /// Rounds of each
+        #[arg(long, default_value_t = 9)]
+        rounds: usize,
+        /// Hits a second
+        #[arg(long, default_value_t = 3_000.0)]
+        rate: f64,
+        /// Seconds a round
+        #[arg(long, default_value_t = 3)]
+        seconds: u64,
+    },
     /// Run a marshal among troubles for long, and say whether its memory stays flat
     Soak {
         /// The scenario, an INI file (deploy/soak-short.ini shows one)
@@ -89,6 +106,12 @@
             println!("{table}");
             Ok(true)
         }
+        Command::Cost { marshal, versus, rounds, rate, seconds } => {
+            let course = cost::Course { rounds, rate, span: std::time::Duration::from_secs(seconds) };
+            let sides = cost::run(&marshal.program()?, &versus, course)?;
+            println!("{}", cost::table(["this", "versus"], &sides));
+            Ok(true)
+        }
         Command::Soak { scenario, marshal, out } => {
             let scenario = soak::Scenario::read(&scenario)?;
             let (program, bar) = (marshal.program()?, bar());
--- a/crates/lab/src/program.rs
+++ b/crates/lab/src/program.rs
@@ -114,11 +114,13 @@
         line.and_then(|l| l.trim().split(' ').next()?.parse::<usize>().ok()).unwrap_or(0)
     };
     let resident = (kib("RssAnon:") + kib("RssShmem:")) * 1024;
-    let stat = std::fs::read_to_string(format!("/proc/{pid}/stat")).ok()?;
-    // The name may hold anything: the fields are counted from behind it.
-    let mut fields = stat.rsplit(") ").next()?.split(' ').skip(11);
-    let ticks = fields.next()?.parse::<u64>().ok()? + fields.next()?.parse::<u64>().ok()?;
-    let cpu = Duration::from_nanos(ticks * 1_000_000_000 / rustix::param::clock_ticks_per_second());
+    // Each thread's time on a processor, in nanoseconds.
+    let threads = std::fs::read_dir(format!("/proc/{pid}/task")).ok()?.flatten();
+    let on_cpu = |thread: std::fs::DirEntry| {
+        let text = std::fs::read_to_string(thread.path().join("schedstat")).ok()?;
+        text.split(' ').next()?.parse::<u64>().ok()
+    };
+    let cpu = Duration::from_nanos(threads.filter_map(on_cpu).sum());
     let descriptors = std::fs::read_dir(format!("/proc/{pid}/fd")).map_or(0, |d| d.count());
     Some(Sample { resident, cpu, descriptors })
 }
--- a/crates/marshal/src/clients.rs
+++ b/crates/marshal/src/clients.rs
@@ -15,7 +15,7 @@
 use stonescale::policy::come_back;
 use stonescale::time::Span;
 use stonescale_budget::buffer::LEAST;
-use stonescale_budget::plan::{HIT, HIT_TIMERS};
+use stonescale_budget::plan::HIT;
 use stonescale_budget::{Buffer, Ledger, Purpose};
 use stonescale_formats::resp::{Kind, Scanner};
 use stonescale_site::Names;
@@ -295,20 +295,14 @@
             match request {
                 Ok(Request::Hit(ask)) => {
                     let group = ask.group;
-                    let (core, timers) = (
-                        self.ledger.charge(Purpose::Core, HIT),
-                        self.ledger.charge(Purpose::Timers, HIT_TIMERS),
-                    );
-                    let (Ok(core), Ok(timers), Ok(block)) =
-                        (core, timers, held.take(length, Purpose::work(group)))
-                    else {
+                    let Ok(block) = held.take_with(length, Purpose::work(group), HIT) else {
                         held.consume(length, LEAST);
                         client.answer(place, Answer::Line(self.bounced(group)));
                         continue;
                     };
                     let (command, came) = (Command { block, ask }, self.crowd.clock.now());
-                    let (client, charges) = (client.clone(), [core, timers]);
-                    self.inbox.arrival(Arrival { client, place, command, came, charges });
+                    let client = client.clone();
+                    self.inbox.arrival(Arrival { client, place, command, came });
                 }
                 Ok(Request::Other(answer)) => {
                     held.consume(length, LEAST);
@@ -320,9 +314,6 @@
                 }
             }
         }
-        if held.is_empty() {
-            held.release();
-        }
         Ok(())
     }
 }
--- a/crates/marshal/src/core.rs
+++ b/crates/marshal/src/core.rs
@@ -60,7 +60,6 @@
     command: Command,
     answered: bool,
     forwards: Vec<Forward>,
-    _charges: [Charge; 2],
 }
 
 struct Forward {
@@ -368,7 +367,7 @@
         self.marshal.told_stage(&mut self.doors, now, (build, stage), standing, cap, age, vote);
     }
 
-    fn arrived(&mut self, Arrival { client, place, command, came, charges }: Arrival) {
+    fn arrived(&mut self, Arrival { client, place, command, came }: Arrival) {
         if client.gone.get() {
             return;
         }
@@ -382,9 +381,7 @@
         // The client's wait runs since it sent the hit, not since the hit left this program's queues.
         let patience = command.ask.patience - (now - came);
         let forwards = Vec::new();
-        self.doors
-            .hits
-            .insert(hit, Open { client, place, command, answered: false, forwards, _charges: charges });
+        self.doors.hits.insert(hit, Open { client, place, command, answered: false, forwards });
         self.marshal.taken(&mut self.doors, now, hit, (group, tenant), key, patience, None);
     }
 
--- a/crates/marshal/src/inbox.rs
+++ b/crates/marshal/src/inbox.rs
@@ -56,8 +56,6 @@
     pub place: u64,
     pub command: Command,
     pub came: Time,
-    /// What its records are charged to, until it is done with.
-    pub charges: [Charge; 2],
 }
 
 #[derive(Default)]
--- a/crates/marshal/src/nodes.rs
+++ b/crates/marshal/src/nodes.rs
@@ -467,7 +467,6 @@
             self.link.used.set(self.clock.now());
             scanner.reset();
         }
-        held.release();
         Ok(())
     }
 }
--- a/crates/marshal/src/turn.rs
+++ b/crates/marshal/src/turn.rs
@@ -102,23 +102,33 @@
     matches!(stream.get_ref().peek(&mut [0]), Err(e) if e.kind() == ErrorKind::WouldBlock)
 }
 
+/// Most pieces that a message is written in.
+const PIECES: usize = 8;
+
 /// Writes what the connection takes of `bytes` now, and says how much that was.
 pub fn write_now(stream: &Async<TcpStream>, bytes: &[u8]) -> io::Result<usize> {
-    write_pieces(stream, &[bytes])
+    now_or_not(stream, |mut socket| socket.write(bytes))
 }
 
-/// The same for the pieces of one message.
+/// The same for the pieces of one message, `PIECES` at most.
 pub fn write_pieces(stream: &Async<TcpStream>, pieces: &[&[u8]]) -> io::Result<usize> {
-    let slices: Vec<_> = pieces.iter().map(|p| IoSlice::new(p)).collect();
+    let mut slices = [IoSlice::new(&[]); PIECES];
+    slices.iter_mut().zip(pieces).for_each(|(slice, piece)| *slice = IoSlice::new(piece));
+    let used = pieces.len().min(PIECES);
+    now_or_not(stream, |mut socket| socket.write_vectored(&slices[..used]))
+}
+
+fn now_or_not(
+    stream: &Async<TcpStream>, write: impl Fn(&TcpStream) -> io::Result<usize>,
+) -> io::Result<usize> {
     loop {
-        match stream.get_ref().write_vectored(&slices) {
-            Ok(n) => return Ok(n),
+        match write(stream.get_ref()) {
             Err(e) if e.kind() == ErrorKind::WouldBlock => {
                 stream.filled();
                 return Ok(0);
             }
             Err(e) if e.kind() == ErrorKind::Interrupted => {}
-            Err(e) => return Err(e),
+            wrote => return wrote,
         }
     }
 }
