Stories: values that wait in a pipeline, and how long a half-read message must be

Sixty reads of 60 KB on one connection of an 8 MiB marshal, the first of them unanswered: each is answered in its order by its own value, or errored or bounced where there is no room.

--- a/crates/formats/tests/parsers.rs
+++ b/crates/formats/tests/parsers.rs
@@ -148,3 +148,22 @@
     let read = rpc::read(line.as_bytes(), &mut heard);
     assert_eq!(read.map(|()| heard.0.concat()), expected.map(str::to_owned));
 }
+
+#[rstest]
+fn a_bulk_string_that_is_not_whole_says_how_long_the_message_must_be() {
+    let bounds = Bounds { parts: 8, bulk: 100, line: 64, whole: 400 };
+    let message = b"*2\r\n$4\r\nPING\r\n$50\r\nhalf of it";
+    let mut scanner = Scanner::new(bounds);
+    let seen: Vec<_> = (1..=message.len())
+        .map(|n| {
+            assert_eq!(scanner.scan(&message[..n]), Ok(None));
+            scanner.wants()
+        })
+        .collect();
+    // Known once its header is in: first the word, behind which more comes, then the last part.
+    assert_eq!(seen[7], Some((14, false)));
+    assert_eq!(seen[13], None);
+    assert_eq!(seen.last(), Some(&Some((14 + 5 + 50 + 2, true))));
+    scanner.reset();
+    assert_eq!(scanner.wants(), None);
+}
--- a/crates/marshal/tests/memory.rs
+++ b/crates/marshal/tests/memory.rs
@@ -5,10 +5,11 @@
 use stonescale_lab::World;
 use stonescale_lab::discovery::Entry;
 use stonescale_lab::load::{Plan, Tally};
-use stonescale_lab::node::{Manner, Mood};
+use stonescale_lab::node::{Act, Manner, Mood};
 use stonescale_lab::program::fresh_path;
 use stonescale_lab::rogue::Manner as Rogue;
 use stonescale_lab::site::{Limits, PUSH, READ};
+use stonescale_lab::wire;
 
 const MIB: usize = 1 << 20;
 
@@ -258,3 +259,37 @@
     assert!(line.contains("[log] format"), "{line}");
     world.program.logged("memory by purpose", LONG).unwrap();
 }
+
+// Many commands on one connection, with large values that wait for the first.
+
+#[test]
+fn values_that_wait_for_one_before_them_are_given_in_order_or_errored_where_they_have_no_room() {
+    use std::io::{BufRead, BufReader, Read, Write};
+    let world = world(8, 256);
+    world.nodes.iter().for_each(|n| n.manner(|m| m.value = 60_000));
+    world.nodes.iter().for_each(|n| n.script([Act::Nothing]));
+    let mut stream = std::net::TcpStream::connect(world.program.addr).unwrap();
+    stream.set_read_timeout(Some(LONG)).unwrap();
+    let ids: Vec<_> = (0..60).map(|n| format!("{n:016x}")).collect();
+    for id in &ids {
+        let command = wire::command(&[b"SVC.QUERY", b"7f3a", id.as_bytes(), b"c=read,t=acme,d=900"]);
+        stream.write_all(&command).unwrap();
+    }
+    let mut answers = BufReader::new(stream);
+    let mut values = 0;
+    for id in &ids {
+        let mut line = String::new();
+        answers.read_line(&mut line).unwrap();
+        if let Some(length) = line.strip_prefix('$') {
+            let mut value = vec![0; length.trim_end().parse::<usize>().unwrap() + 2];
+            answers.read_exact(&mut value).unwrap();
+            assert!(value.starts_with(id.as_bytes()), "the value of another hit, for {id}");
+            values += 1;
+        } else {
+            assert!(line.starts_with("-ERR failed") || line.starts_with("-BUSY"), "{line}");
+        }
+    }
+    assert!(values > 0, "no value at all");
+    assert!(world.program.sample().unwrap().resident < 8 * MIB);
+    all_is_back(&world);
+}
