--- a/crates/lab/src/soak.rs
+++ b/crates/lab/src/soak.rs
@@ -49,12 +49,9 @@
     pub unaccounted: f64,
 }
 
-fn number<T: std::str::FromStr + PartialOrd + Copy + 'static>(
+fn number<T: std::str::FromStr + PartialOrd + Copy + std::fmt::Display + 'static>(
     least: T, most: T,
-) -> impl Fn(&str) -> Result<T, String>
-where
-    T: std::fmt::Display,
-{
+) -> impl Fn(&str) -> Result<T, String> {
     move |text| {
         let number = text.parse().ok().filter(|n: &T| *n >= least && *n <= most);
         number.ok_or_else(|| format!("is not a number from {least} to {most}"))
