--- a/crates/lab/src/load.rs
+++ b/crates/lab/src/load.rs
@@ -96,7 +96,7 @@
     addrs: Vec<SocketAddr>,
     plan: Plan,
     idle: Mutex<Vec<(usize, Conn)>>,
-    open: AtomicU64,
+    open: Arc<AtomicU64>,
     ids: AtomicU64,
     tallies: Mutex<Vec<Tally>>,
     under_way: AtomicU64,
@@ -106,6 +106,24 @@
 struct Conn {
     stream: Stream,
     messages: Messages,
+    _permit: Permit,
+}
+
+/// One of the connections that may be open; given back however its holder ends, also in the middle of a wait.
+struct Permit(Arc<AtomicU64>);
+
+impl Permit {
+    fn take(open: &Arc<AtomicU64>, most: usize) -> Option<Self> {
+        let more = |now: u64| (now < most as u64).then_some(now + 1);
+        open.fetch_update(Ordering::SeqCst, Ordering::SeqCst, more).ok()?;
+        Some(Permit(open.clone()))
+    }
+}
+
+impl Drop for Permit {
+    fn drop(&mut self) {
+        self.0.fetch_sub(1, Ordering::SeqCst);
+    }
 }
 
 /// Clients that run until they are told to end; clones are handles to the same.
@@ -125,7 +143,7 @@
             addrs,
             plan,
             idle: Mutex::default(),
-            open: AtomicU64::new(0),
+            open: Arc::default(),
             ids: AtomicU64::new(0),
             tallies,
             under_way: AtomicU64::new(0),
@@ -242,7 +260,6 @@
             loop {
                 let (mut conn, fresh) = self.connection(at).await?;
                 if wire::write(&mut &conn.stream, &text).await.is_err() {
-                    self.closed();
                     if fresh { return None } else { continue }
                 }
                 if !std::mem::replace(&mut told, true) {
@@ -253,11 +270,8 @@
                         lock(&self.0.idle).push((at, conn));
                         return Some(answer);
                     }
-                    _ if fresh => {
-                        self.closed();
-                        return None;
-                    }
-                    _ => self.closed(),
+                    _ if fresh => return None,
+                    _ => {}
                 }
             }
         };
@@ -275,7 +289,6 @@
                 Ended::Unanswered
             }
             None => {
-                self.closed();
                 self.0.books.lock().left(&id, told, now);
                 Ended::Unanswered
             }
@@ -298,13 +311,9 @@
         ended
     }
 
-    fn closed(&self) {
-        self.0.open.fetch_sub(1, Ordering::SeqCst);
-    }
-
     /// An idle connection, or a new one; says whether it is new.
     async fn connection(&self, at: usize) -> Option<(Conn, bool)> {
-        loop {
+        let permit = loop {
             let idle = {
                 let mut idle = lock(&self.0.idle);
                 let place = idle.iter().rposition(|(to, _)| *to == at);
@@ -313,22 +322,14 @@
             if let Some(conn) = idle {
                 return Some((conn, false));
             }
-            if self.0.open.load(Ordering::SeqCst) < self.0.plan.connections as u64 {
-                break;
+            if let Some(permit) = Permit::take(&self.0.open, self.0.plan.connections) {
+                break permit;
             }
             Timer::after(Duration::from_millis(1)).await;
-        }
-        self.0.open.fetch_add(1, Ordering::SeqCst);
-        match Stream::connect(self.0.addrs[at]).await {
-            Ok(stream) => {
-                let _ = stream.get_ref().set_nodelay(true);
-                Some((Conn { stream, messages: Messages::default() }, true))
-            }
-            Err(_) => {
-                self.closed();
-                None
-            }
-        }
+        };
+        let stream = Stream::connect(self.0.addrs[at]).await.ok()?;
+        let _ = stream.get_ref().set_nodelay(true);
+        Some((Conn { stream, messages: Messages::default(), _permit: permit }, true))
     }
 }
 
