--- a/crates/lab/src/checker.rs
+++ b/crates/lab/src/checker.rs
@@ -218,7 +218,8 @@
     pub fn left(&mut self, id: &str, owed: bool, now: Time) {
         let Some(hit) = self.hits.get_mut(id).filter(|h| h.ended.is_none() && !h.left) else { return };
         hit.left = true;
-        if owed {
+        // A client that waited for a connection first may give up before the marshal's time is over.
+        if owed && now - hit.sent > hit.asked.patience + self.bounds.sockets {
             self.totals.unanswered += 1;
             self.breaks(1, now, format!("hit {id} was never answered"));
         }
