--- a/crates/lab/src/checker.rs
+++ b/crates/lab/src/checker.rs
@@ -330,12 +330,6 @@
         let grace = self.bounds.cap_grace + self.bounds.sockets * 3.0;
         Some(if now - cap.since <= grace { cap.now.max(cap.before) } else { cap.now })
     }
-
-    /// Hits that are neither answered nor left, of those sent so long ago that they must be.
-    pub fn overdue(&self, now: Time) -> usize {
-        let over = |h: &&Hit| now - h.sent > h.asked.patience + self.bounds.sockets;
-        self.hits.values().filter(|h| h.ended.is_none() && !h.left).filter(over).count()
-    }
 }
 
 /// The checker, as the stand-ins and the load share it.
--- a/crates/lab/src/node.rs
+++ b/crates/lab/src/node.rs
@@ -2,7 +2,7 @@
 //! has moods. It notes what it was sent and what ran.
 
 use crate::checker::Books;
-use crate::stage::{Clock, Listener, Stage, Stream, listen_at};
+use crate::stage::{Clock, Listener, Stage, Stream};
 use crate::wire::{self, Message, Messages, field};
 use async_channel::{Receiver, Sender};
 use async_io::Timer;
@@ -403,8 +403,3 @@
 fn socket_linger(stream: &Stream) -> std::io::Result<()> {
     rustix::net::sockopt::set_socket_linger(stream.get_ref(), Some(Duration::ZERO)).map_err(Into::into)
 }
-
-/// A listener that takes the port of a node that is down.
-pub fn listen_again(addr: SocketAddr) -> std::io::Result<Listener> {
-    listen_at(addr).map(|(listener, _)| listener)
-}
