--- a/crates/lab/src/node.rs
+++ b/crates/lab/src/node.rs
@@ -115,6 +115,8 @@
     end: Sender<()>,
 }
 
+/// An answer that will not come, nor any behind it on its connection: answers keep their commands' order.
+const NEVER: Duration = Duration::from_secs(86_400);
 /// Commands noted for a story; what goes past it is forgotten.
 const HEARD: usize = 4096;
 
@@ -303,7 +305,8 @@
                 self.ran(&id, mark.as_deref());
                 return false;
             }
-            (Some(Act::Nothing), _) | (None, Mood::Silent | Mood::Deaf | Mood::Refusing) => {}
+            (Some(Act::Nothing), _) => owed.push_back((now + NEVER, Vec::new(), true)),
+            (None, Mood::Silent | Mood::Deaf | Mood::Refusing) => {}
             (Some(Act::Say(text)), _) => owed.push_back((now, text, false)),
             (Some(Act::SayAndClose(text)), _) => owed.push_back((now, text, true)),
             (Some(Act::SayMore(text)), _) => {
