The newest build's answered keys are bounded; past it new keys stay with the earlier build

Where keys may not return to the earlier build, the table of answered keys grew with every key for as long as the trial lasted: 3,000 hits a second for ten minutes were some 32 MB by its layout (computed, not seen). It holds 57,344 keys now; a hit with a further key is not sent to the newest build while an earlier one has nodes, so none that was forgotten can return. The story fails without it.

--- a/src/policy.rs
+++ b/src/policy.rs
@@ -64,6 +64,9 @@
 const COME_BACK: f64 = 0.2; // of the target latency: then a bounced hit may still be answered in time
 const SHED: f64 = 0.8; // of the target latency: longest expected wait of the best hits
 const SHED_FROM: f64 = 0.4; // of that, for worthless ones
+/// Keys remembered as answered by the newest build: 57,344 fill a table of 64 Ki places, some 600 KB. Past it, new
+/// keys stay with the earlier build as long as that has nodes: a key forgotten might return.
+pub const MOST_KEYS: usize = (1 << 16) / 8 * 7;
 const SHED_MOST: f64 = 0.95; // the few that go all the same show when the wait is over
 const ASK_AGAIN: Span = Span::millis(500); // first wait after a failed call for the list, then doubled
 const ASK_LONGEST: f64 = 0.5; // of the time in which the list must be asked
@@ -119,6 +122,11 @@
 /// Rule 5 by this marshal's own count: a bucket as deep as the allowance, filled with the cap by each hit
 /// taken, bounds every window without keeping one. Full from the start, many would push over the first node.
 impl Exposure {
+    /// No further key can be remembered.
+    fn full(&self) -> bool {
+        self.trial.no_return && self.answered.len() >= MOST_KEYS
+    }
+
     fn bucket(&mut self, build: u16, group: usize) -> &mut f64 {
         let group = if self.trial.by_group { group } else { 0 };
         let (salt, depth) = (self.salt, self.trial.allowance);
@@ -416,7 +424,7 @@
                     self.exposure.buckets.retain(|(of, _), _| *of >= build);
                 }
                 if another || !standing.open() {
-                    self.exposure.answered.clear();
+                    self.exposure.answered = Default::default();
                 }
                 if before != Some((build, stage)) {
                     gate.record.stage_outcomes = 0.0;
@@ -495,6 +503,9 @@
         let first = reason == Reason::First;
         let may_try = first && group.effect == Effect::Repeatable && self.desk.extra >= 1.0;
         let returning = self.exposure.trial.no_return && self.exposure.answered.contains(&hit.key);
+        let earlier = |n: &Node| Some(n.build) < self.gate.newest();
+        let unknown = hit.key != 0 && !returning && self.exposure.full();
+        let keeps = unknown && self.fleet.nodes.ready().any(earlier);
         let target = group.target.seconds();
         let listed = &self.fleet.listed;
         let mut best: [Option<(f64, usize, f64, f64)>; 2] = [None, None];
@@ -509,7 +520,7 @@
             let trial = self.gate.trial(node.build);
             if let Some((stage, cap)) = trial {
                 let closed = stage < self.exposure.trial.closed_stages && group.effect != Effect::Repeatable;
-                if closed || cap <= 0.0 || *self.exposure.bucket(node.build, hit.group) < 1.0 {
+                if closed || keeps || cap <= 0.0 || *self.exposure.bucket(node.build, hit.group) < 1.0 {
                     continue;
                 }
             } else if returning && Some(node.build) < self.gate.newest() {
@@ -651,7 +662,8 @@
         self.weigh(&forward, group, fate, latency, work);
         self.learn(&forward, fate, latency, work);
         if fate == Fate::Ok {
-            if self.exposure.trial.no_return && key != 0 && Some(build) == self.gate.newest() {
+            let kept = self.exposure.trial.no_return && !self.exposure.full();
+            if kept && key != 0 && Some(build) == self.gate.newest() {
                 self.exposure.answered.insert(key);
             }
             self.desk.typical[group] += LEARN.powi(3) * (latency.seconds() - self.desk.typical[group]);
--- a/tests/fake/mod.rs
+++ b/tests/fake/mod.rs
@@ -227,6 +227,12 @@
         nodes
     }
 
+    /// What was called for so far is not looked at again, and what was to come due does not.
+    pub fn forget(&mut self) {
+        self.book.calls.clear();
+        self.book.timers.clear();
+    }
+
     pub fn votes(&self, verdict: Verdict) -> usize {
         self.book.calls.iter().filter(|c| matches!(c, Call::Vote(_, _, v) if *v == verdict)).count()
     }
--- a/tests/stories.rs
+++ b/tests/stories.rs
@@ -243,6 +243,36 @@
     assert!(s.went(held)[0] < 100);
 }
 
+#[rstest]
+fn past_the_keys_that_are_remembered_new_ones_stay_with_the_earlier_build_while_it_has_nodes() {
+    let mut site = site();
+    site.trial.no_return = true;
+    let mut s = site.open();
+    s.stage(NEW, 0, Standing::OnTrial, 1.0);
+    s.ready(100..103, NEW);
+    let known = stonescale::policy::MOST_KEYS as u64;
+    for key in 1..=known {
+        s.forget();
+        let hit = s.take_keyed(READ, key);
+        s.end(hit, 0, Fate::Ok, 60);
+    }
+    s.ready(0..10, OLD);
+    let mut went = |key: u64| {
+        let hit = s.take_keyed(READ, key);
+        s.pass(Span::millis(10));
+        let node = s.went(hit).first().copied();
+        s.end(hit, 0, Fate::Ok, 60);
+        node
+    };
+    // A key of the new build waits where its lot falls on no node of that.
+    let stays: Vec<_> = (1..=50).filter_map(&mut went).collect();
+    assert!(stays.len() > 10 && stays.iter().all(|n| *n >= 100), "answered by the new build: {stays:?}");
+    assert!((1..=50).all(|key| went(known + key).is_some_and(|n| n < 100)), "without room to be remembered");
+    s.list(&(0..10).map(|id| (id, OLD, Readiness::Gone)).collect::<Vec<_>>(), None);
+    let fresh = s.take_keyed(READ, known + 1);
+    assert!(s.went(fresh)[0] >= 100, "there is no other to return to");
+}
+
 #[rstest]
 fn the_cheapest_path_groups_go_to_the_new_build_first() {
     let mut s = trial(5);
