The table of purposes acts at its levels; the log is bounded by bytes and charged

Of the table only owed's column and a full node list acted. Now idle clients are closed and stuck ones left by level, idle node connections are closed after a tenth of their usual rest, nodes that are gone are forgotten at once where their purpose is tight; a connection without room waits to be taken in place of being dropped. Entries that did nothing of their own (empty buffers, given back at every level) are out of the table, and turns are for when nothing can be taken. Log lines that wait are bounded by the log's reserve in bytes and charged; one left out for that is counted and told, where the thread's queue dropped it silently (a unit test fails without the bound).

--- a/crates/budget/src/ledger.rs
+++ b/crates/budget/src/ledger.rs
@@ -1,7 +1,7 @@
 //! The ledger: charges by purpose, as guards. A charge belongs to one purpose at any moment; it grows and moves only
 //! where there is room, and gives back what it holds when it is dropped.
 
-use crate::level::{Gauge, Level};
+use crate::level::{self, Gauge, Level};
 use crate::plan::Plan;
 use crate::pool::{Account, Pool};
 use crate::purpose::{Purpose, rule};
@@ -141,6 +141,14 @@
         rule(purpose).reclaim(self.level(purpose))
     }
 
+    /// Bytes to be given back until the purpose is easy again.
+    pub fn over(&self, purpose: Purpose) -> usize {
+        let at = self.at(purpose);
+        let books = self.0.borrow();
+        let held = books.pool.accounts()[at].held;
+        held.saturating_sub(level::easy(held + books.pool.room(at)))
+    }
+
     /// Notes that so many bytes were given back under pressure.
     pub fn reclaimed(&self, purpose: Purpose, bytes: usize) {
         let at = self.at(purpose);
--- a/crates/budget/src/level.rs
+++ b/crates/budget/src/level.rs
@@ -13,6 +13,11 @@
     Short,
 }
 
+/// What may be held of `reach` bytes for no level but the easy one to last.
+pub fn easy(reach: usize) -> usize {
+    (reach as f64 * TIGHT.leave) as usize
+}
+
 impl Level {
     pub fn name(self) -> &'static str {
         match self {
--- a/crates/budget/src/purpose.rs
+++ b/crates/budget/src/purpose.rs
@@ -77,8 +77,11 @@
 /// What is done with one more that does not fit.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Full {
-    /// It is left where it is, unread or not accepted, and looked at again soon.
+    /// It is left where it is, unread, and looked at again soon.
     Wait,
+    /// It waits to be taken. Idle connections are closed for it; where there is none, those that were here longest are
+    /// closed once they are answered, so that others have their turn.
+    Turns,
     /// It is turned away at once, with when to come back; it never ran.
     Bounce,
     /// The forward counts as never sent, and may go elsewhere.
@@ -89,21 +92,18 @@
     LeaveOut,
 }
 
-/// What is given back under pressure, before anything is refused.
+/// What is given back under pressure, before anything is refused. What a buffer occupies is no matter of a level: it is
+/// given back whenever it stands empty.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Reclaim {
     Nothing,
-    /// Buffers that stand empty are given back.
-    Shrink,
     /// Idle connections are closed, the longest idle first.
     Idle,
     /// Who owes answers is asked no more: its further commands stay unread.
     Unread,
     /// Who has taken nothing of its answers for long is closed, the one owed most first.
     Stuck,
-    /// Connections are closed as they fall idle, those that were served most first, so that others have their turn.
-    Rotate,
-    /// What is known of nodes that are gone is forgotten.
+    /// What is known of nodes that are gone is forgotten at once.
     Gone,
 }
 
@@ -130,15 +130,15 @@
 pub fn rule(purpose: Purpose) -> Rule {
     let rule = |full, tight, short| Rule { full, tight, short };
     match purpose {
-        Purpose::Clients => rule(Full::Wait, Reclaim::Idle, Reclaim::Rotate),
-        Purpose::Halves => rule(Full::Bounce, Reclaim::Shrink, Reclaim::Shrink),
+        Purpose::Clients => rule(Full::Turns, Reclaim::Idle, Reclaim::Idle),
+        Purpose::Halves => rule(Full::Bounce, Reclaim::Nothing, Reclaim::Nothing),
         Purpose::Work(_) => rule(Full::Bounce, Reclaim::Nothing, Reclaim::Nothing),
         Purpose::Owed => rule(Full::Close, Reclaim::Unread, Reclaim::Stuck),
         Purpose::Links => rule(Full::Unsent, Reclaim::Idle, Reclaim::Idle),
-        Purpose::Answers => rule(Full::Wait, Reclaim::Shrink, Reclaim::Shrink),
+        Purpose::Answers => rule(Full::Wait, Reclaim::Nothing, Reclaim::Nothing),
         Purpose::Nodes => rule(Full::LeaveOut, Reclaim::Gone, Reclaim::Gone),
-        Purpose::Discovery => rule(Full::Close, Reclaim::Shrink, Reclaim::Shrink),
-        Purpose::Platform => rule(Full::Close, Reclaim::Shrink, Reclaim::Shrink),
+        Purpose::Discovery => rule(Full::Close, Reclaim::Nothing, Reclaim::Nothing),
+        Purpose::Platform => rule(Full::Close, Reclaim::Nothing, Reclaim::Nothing),
         Purpose::Log => rule(Full::LeaveOut, Reclaim::Nothing, Reclaim::Nothing),
     }
 }
--- a/crates/marshal/src/client.rs
+++ b/crates/marshal/src/client.rs
@@ -313,6 +313,16 @@
         still.len()
     }
 
+    /// Gives back what the table says at the levels of the moment; `spared` as for `close_idle`, `most` at one go.
+    pub fn ease(&self, spared: (Span, Span), most: usize) {
+        if self.ledger.reclaim(Purpose::Clients) == Reclaim::Idle {
+            self.ledger.reclaimed(Purpose::Clients, self.close_idle(spared, most) * CLIENT);
+        }
+        if self.ledger.reclaim(Purpose::Owed) == Reclaim::Stuck {
+            self.relieve(self.ledger.over(Purpose::Owed));
+        }
+    }
+
     /// Has connections closed once they are answered, those that were here longest, for others to have their turn.
     pub fn rotate(&self, tenure: Span, most: usize) {
         let all = self.all();
--- a/crates/marshal/src/clients.rs
+++ b/crates/marshal/src/clients.rs
@@ -15,7 +15,7 @@
 use stonescale::policy::come_back;
 use stonescale::time::Span;
 use stonescale_budget::buffer::LEAST;
-use stonescale_budget::plan::HIT;
+use stonescale_budget::plan::{CLIENT, HIT};
 use stonescale_budget::{Buffer, Ledger, Purpose};
 use stonescale_formats::resp::{Kind, Scanner};
 use stonescale_site::Names;
@@ -23,6 +23,8 @@
 
 /// How soon accepting looks again after it was short of room or of descriptors.
 const AGAIN: Duration = Duration::from_millis(10);
+/// How often it is looked whether a level asks for something back: sooner than a client counts as stuck.
+const EASE: Duration = Duration::from_millis(250);
 /// Connections closed for new ones at one go.
 const AT_ONCE: usize = 16;
 /// Idle connections are closed after that: some clients ask once and keep their connection for good.
@@ -91,7 +93,7 @@
     pub async fn accept(self: Rc<Self>, listener: Rc<Async<TcpListener>>, tasks: Rc<LocalExecutor<'static>>) {
         let (mut short, mut rotated) = (false, Instant::now());
         loop {
-            if self.count.get() >= self.most {
+            if self.count.get() >= self.most || self.ledger.room(Purpose::Clients) < CLIENT {
                 // Nobody idle: those that fill the connections must not keep all others out.
                 if self.close_idle(AT_ONCE) == 0 && rotated.elapsed() >= AGAIN * AT_ONCE as u32 {
                     rotated = Instant::now();
@@ -135,6 +137,14 @@
         self.crowd.close_idle((SPARED, SPARED * PRESSED), most)
     }
 
+    /// Makes room as the table of purposes says, for as long as the future is polled.
+    pub async fn ease(self: Rc<Self>) {
+        loop {
+            Timer::after(EASE).await;
+            self.crowd.ease((SPARED, SPARED * PRESSED), AT_ONCE);
+        }
+    }
+
     async fn serve(self: Rc<Self>, client: Rc<Client>) {
         let Some(stream) = client.stream() else { return };
         if let Err(why) = self.read_commands(&client, &stream).await {
--- a/crates/marshal/src/core.rs
+++ b/crates/marshal/src/core.rs
@@ -20,6 +20,7 @@
 use stonescale::time::{Span, Time};
 use stonescale_budget::buffer::Block;
 use stonescale_budget::plan::NODE;
+use stonescale_budget::purpose::Reclaim;
 use stonescale_budget::{Charge, Ledger, Purpose};
 use tracing::{debug, info, warn};
 
@@ -141,8 +142,9 @@
         }
         let charge = self.ledger.charge(Purpose::Nodes, NODE).or_else(|_| {
             // Those that are gone make room before their time; once a list, as that looks at them all.
-            let freed = if std::mem::replace(&mut self.swept, true) { 0 } else { self.forget(true) * NODE };
-            self.ledger.reclaimed(Purpose::Nodes, freed);
+            if !std::mem::replace(&mut self.swept, true) {
+                self.forget(true);
+            }
             self.ledger.charge(Purpose::Nodes, NODE)
         });
         let charge = charge.ok()?;
@@ -152,16 +154,17 @@
         Some(number)
     }
 
-    /// Looks after idle connections, and forgets nodes that are gone for long (or at all, where room is `short`);
-    /// returns how many.
-    fn forget(&mut self, short: bool) -> usize {
+    /// Looks after idle connections, and forgets nodes that are gone for long (or at all, where room is `short`).
+    fn forget(&mut self, short: bool) {
         let over = self.nodes.sweep(short);
+        if short {
+            self.ledger.reclaimed(Purpose::Nodes, over.len() * NODE);
+        }
         if !over.is_empty() {
             let gone: HashSet<usize> = over.iter().copied().collect();
             self.ids.retain(|_, (number, _)| !gone.contains(number));
             self.free.extend(&over);
         }
-        over.len()
     }
 
     /// Answers a hit, once.
@@ -294,7 +297,8 @@
                 Due::Token(token) => self.marshal.woken(&mut self.doors, now, token),
                 Due::Forward(hit, hop) => self.doors.give_up(hit, hop, Ending::WaitedOut),
                 Due::Sweep => {
-                    self.doors.forget(false);
+                    let short = self.doors.ledger.reclaim(Purpose::Nodes) == Reclaim::Gone;
+                    self.doors.forget(short);
                     debug!(
                         "{} hits open, {} taken so far, {} node connections",
                         self.doors.hits.len(),
--- a/crates/marshal/src/logger.rs
+++ b/crates/marshal/src/logger.rs
@@ -3,7 +3,7 @@
 
 use std::fmt;
 use std::io::{self, Write};
-use std::sync::atomic::{AtomicU32, Ordering};
+use std::sync::atomic::{AtomicU32, AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex, PoisonError};
 use std::time::{Instant, SystemTime, UNIX_EPOCH};
 use stonescale_operator::Format;
@@ -17,13 +17,16 @@
 
 /// Bytes of a line at most; what is longer is cut.
 const LINE: usize = 2 * 1024;
-/// Lines that may wait to be written, where the log's memory allows: a second of the default's lines and more.
-const WAITING: usize = 128;
+/// Bytes that wait at most, whatever the log's memory: some thousand lines; nobody misses older ones.
+const MOST: usize = 256 * 1024;
+/// What a line occupies besides its text while it waits to be written.
+const ENTRY: usize = 64;
 
 /// Kept until the program ends: dropped, it writes what waits.
 pub struct Log {
     _guard: WorkerGuard,
     lines: Arc<AtomicU32>,
+    waiting: Arc<AtomicUsize>,
 }
 
 impl Log {
@@ -31,16 +34,35 @@
     pub fn lines(&self, lines: u32) {
         self.lines.store(lines, Ordering::Relaxed);
     }
+
+    /// Bytes that wait to be written.
+    pub fn waiting(&self) -> usize {
+        self.waiting.load(Ordering::Relaxed)
+    }
+}
+
+/// Where lines end up, with what is written counted as waiting no more.
+struct Counted<W> {
+    out: W,
+    waiting: Arc<AtomicUsize>,
+}
+
+impl<W: Write> Write for Counted<W> {
+    /// A line that was put up for writing comes in one call.
+    fn write(&mut self, line: &[u8]) -> io::Result<usize> {
+        let done = self.out.write_all(line);
+        self.waiting.fetch_sub(line.len() + ENTRY, Ordering::Relaxed);
+        done.map(|()| line.len())
+    }
+
+    fn flush(&mut self) -> io::Result<()> {
+        self.out.flush()
+    }
 }
 
 /// Starts the log; `memory` bytes at most wait to be written.
 pub fn start(level: LevelFilter, format: Format, lines: u32, memory: usize) -> Log {
-    let waiting = (memory / LINE).clamp(8, WAITING);
-    let (out, guard) =
-        NonBlockingBuilder::default().buffered_lines_limit(waiting).lossy(true).finish(io::stderr());
-    let lines = Arc::new(AtomicU32::new(lines));
-    let second = Arc::new(Mutex::new(Second { start: Instant::now(), lines: 0, left_out: 0 }));
-    let bounded = Bounded { out, lines: lines.clone(), second, json: format == Format::Json };
+    let (bounded, log) = bounded(io::stderr(), format, lines, memory);
     let builder = tracing_subscriber::fmt().with_max_level(level).with_writer(bounded);
     // Only a second start in one process could fail, and there is none.
     let _ = match format {
@@ -49,7 +71,20 @@
             builder.json().flatten_event(true).with_timer(Unix).with_current_span(false).try_init()
         }
     };
-    Log { _guard: guard, lines }
+    log
+}
+
+fn bounded(out: impl Write + Send + 'static, format: Format, lines: u32, memory: usize) -> (Bounded, Log) {
+    let (memory, waiting) = (memory.min(MOST), Arc::new(AtomicUsize::new(0)));
+    let counted = Counted { out, waiting: waiting.clone() };
+    // The bytes are the bound: so many lines never come to wait, and none is lost uncounted.
+    let most = memory / ENTRY + 1;
+    let (out, guard) = NonBlockingBuilder::default().buffered_lines_limit(most).lossy(true).finish(counted);
+    let lines = Arc::new(AtomicU32::new(lines));
+    let second = Arc::new(Mutex::new(Second { start: Instant::now(), lines: 0, left_out: 0 }));
+    let json = format == Format::Json;
+    let bounded = Bounded { out, lines: lines.clone(), second, json, memory, waiting: waiting.clone() };
+    (bounded, Log { _guard: guard, lines, waiting })
 }
 
 struct Unix;
@@ -84,12 +119,16 @@
     left_out: u32,
 }
 
-/// Lets so many lines a second pass; what goes past it is counted and told with the next one.
+/// Lets so many lines a second pass, as long as there is room for them; what goes past it is counted and told with the
+/// next one.
 struct Bounded {
     out: NonBlocking,
     lines: Arc<AtomicU32>,
     second: Arc<Mutex<Second>>,
     json: bool,
+    /// Bytes that may wait, and that do.
+    memory: usize,
+    waiting: Arc<AtomicUsize>,
 }
 
 struct Pass<'a> {
@@ -118,7 +157,11 @@
                 (second.start, second.lines) = (Instant::now(), 0);
             }
             second.lines += 1;
-            if second.lines > self.bounded.lines.load(Ordering::Relaxed) && !self.always {
+            let many = second.lines > self.bounded.lines.load(Ordering::Relaxed) && !self.always;
+            // The longest that this line can come to, with how many were left out before it.
+            let full = self.bounded.waiting.load(Ordering::Relaxed) + LINE.max(line.len()) + 2 * ENTRY
+                > self.bounded.memory;
+            if many || full {
                 second.left_out += 1;
                 return Ok(line.len());
             }
@@ -136,6 +179,7 @@
             whole.extend_from_slice(format!(" ({left_out} lines left out)").as_bytes());
         }
         whole.push(b'\n');
+        self.bounded.waiting.fetch_add(whole.len() + ENTRY, Ordering::Relaxed);
         out.write_all(&whole)?;
         Ok(line.len())
     }
@@ -144,3 +188,45 @@
         Ok(())
     }
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use std::sync::mpsc::{Receiver, Sender, channel};
+
+    /// A place where lines are written one by one, each when it is let through.
+    struct Gate(Receiver<()>, Sender<String>);
+
+    impl Write for Gate {
+        fn write(&mut self, line: &[u8]) -> io::Result<usize> {
+            let _ = self.0.recv();
+            let _ = self.1.send(String::from_utf8_lossy(line).into_owned());
+            Ok(line.len())
+        }
+
+        fn flush(&mut self) -> io::Result<()> {
+            Ok(())
+        }
+    }
+
+    #[test]
+    fn lines_that_nobody_takes_stay_within_the_logs_memory_and_are_counted() {
+        const MEMORY: usize = 16 * 1024;
+        let ((let_through, gate), (write, written)) = (channel(), channel());
+        let (bounded, log) = bounded(Gate(gate, write), Format::Text, u32::MAX, MEMORY);
+        let line = "x".repeat(99) + "\n";
+        for _ in 0..1_000 {
+            bounded.make_writer().write_all(line.as_bytes()).unwrap();
+            assert!(log.waiting() <= MEMORY, "{}", log.waiting());
+        }
+        let whole = log.waiting() / (line.len() + ENTRY);
+        drop(let_through);
+        (0..whole).for_each(|_| assert_eq!(written.recv().unwrap(), line));
+        // The thread counts a line as written right after it wrote it.
+        while log.waiting() > 0 {
+            std::thread::yield_now();
+        }
+        bounded.make_writer().write_all(line.as_bytes()).unwrap();
+        assert!(written.recv().unwrap().contains(&format!("({} lines left out)", 1_000 - whole)));
+    }
+}
--- a/crates/marshal/src/nodes.rs
+++ b/crates/marshal/src/nodes.rs
@@ -17,6 +17,7 @@
 use stonescale::time::{Span, Time};
 use stonescale_budget::buffer::LEAST;
 use stonescale_budget::plan::LINK;
+use stonescale_budget::purpose::Reclaim;
 use stonescale_budget::{Buffer, Charge, Ledger, Purpose, Refused};
 use stonescale_formats::resp::{Bounds, Kind, Scanner};
 use tracing::{debug, info, warn};
@@ -24,6 +25,8 @@
 const BOUNDS: Bounds = Bounds { parts: 8, bulk: VALUE, line: 1024, whole: VALUE + 4 * 1024 };
 /// Of the time in which a node closes an idle connection: by then the marshal has closed it itself.
 const RETIRE: f64 = 0.6;
+/// Of that, where node connections run short of memory: one that was used so lately is likely used again.
+const PRESSED: f64 = 0.1;
 /// A second copy or noise may follow an answer right behind. It must have come to be seen, or it would be taken
 /// for the answer to the next hit: so long a connection rests, and then it is looked at.
 const REST: Span = Span::millis(5);
@@ -308,9 +311,14 @@
     /// that are gone for as long, or at all where room is `short`, and returns their numbers.
     pub fn sweep(&mut self, short: bool) -> Vec<usize> {
         let now = self.clock.now();
+        let pressed = self.ledger.reclaim(Purpose::Links) == Reclaim::Idle;
+        let rest = self.idle * RETIRE * if pressed { PRESSED } else { 1.0 };
         for stand in self.stands.iter_mut().flatten() {
             stand.links.retain(|l| !l.retired.get());
-            for link in stand.links.iter().filter(|l| l.idle() && now - l.used.get() >= self.idle * RETIRE) {
+            for link in stand.links.iter().filter(|l| l.idle() && now - l.used.get() >= rest) {
+                if pressed {
+                    self.ledger.reclaimed(Purpose::Links, LINK);
+                }
                 link.finish(Ending::Idle);
             }
         }
--- a/crates/marshal/src/serve.rs
+++ b/crates/marshal/src/serve.rs
@@ -102,7 +102,7 @@
     let config = startup::place(files.config)?;
     let Read { mut root, operator, plan, said, .. } = Read::of(&config, files.operator.as_deref())?;
     let lines = operator.log.lines_per_second;
-    let log = logger::start(files.log, operator.log.format, lines, plan.of(Purpose::Log).cap);
+    let log = logger::start(files.log, operator.log.format, lines, plan.of(Purpose::Log).reserve);
     info!("{said}");
     let (_, listen, there) = startup::identity(&root)?;
     let (most_clients, most_links, _) = startup::limits(&root)?;
@@ -152,13 +152,19 @@
     core.listed(Listing::Cached, entries);
     tasks.spawn(core.run()).detach();
     let report_every = Rc::new(Cell::new(operator.memory.report_every));
-    let running =
-        Running { log, ledger: ledger.clone(), report_every: report_every.clone(), inbox: inbox.clone() };
+    let log = Rc::new(log);
+    let running = Running {
+        log: log.clone(),
+        ledger: ledger.clone(),
+        report_every: report_every.clone(),
+        inbox: inbox.clone(),
+    };
     let files = (config, files.operator);
     tasks.spawn(reread(rereads, files, (root, operator), there, running)).detach();
 
     let clients = Clients::new(inbox, Crowd::new(ledger.clone(), clock), names, most_clients);
-    tasks.spawn(tell_memory(asked, ledger, groups, clients.clone(), report_every)).detach();
+    tasks.spawn(tell_memory(asked, (ledger, log), groups, clients.clone(), report_every)).detach();
+    tasks.spawn(clients.clone().ease()).detach();
     let listener = Rc::new(listener);
     let accepting = tasks.spawn(clients.clone().accept(listener, tasks.clone()));
     let until_the_end = async move {
@@ -180,7 +186,7 @@
 
 /// What changes while serving goes on.
 struct Running {
-    log: logger::Log,
+    log: Rc<logger::Log>,
     ledger: Ledger,
     report_every: Rc<Cell<Span>>,
     inbox: Rc<Inbox>,
@@ -231,10 +237,10 @@
 
 /// Reports what memory is held for: every so often, and on each SIGUSR1; and changes of a level as they come.
 async fn tell_memory(
-    asked: Async<UnixStream>, ledger: Ledger, groups: Vec<String>, clients: Rc<Clients>,
-    every: Rc<Cell<Span>>,
+    asked: Async<UnixStream>, (ledger, log): (Ledger, Rc<logger::Log>), groups: Vec<String>,
+    clients: Rc<Clients>, every: Rc<Cell<Span>>,
 ) {
-    let mut last = Instant::now();
+    let (mut last, mut lines) = (Instant::now(), ledger.open(Purpose::Log));
     loop {
         let asked = async {
             told(&asked).await;
@@ -245,6 +251,8 @@
             false
         };
         let asked = or(asked, tick).await;
+        // The log's thread has no part in the ledger; its bound is the reserve, which nobody else can take.
+        let _ = lines.resize(log.waiting());
         memory::changes(&ledger, &groups);
         let due = every.get() > Span::ZERO && last.elapsed() >= duration(every.get());
         if asked || due {
