--- a/crates/marshal/src/core.rs
+++ b/crates/marshal/src/core.rs
@@ -11,8 +11,7 @@
 use crate::platform::Platform;
 use crate::reactor;
 use futures_lite::future::{or, yield_now};
-use std::cmp::Reverse;
-use std::collections::{BinaryHeap, HashMap, HashSet};
+use std::collections::{HashMap, HashSet};
 use std::rc::Rc;
 use stonescale::host::{Fate, Host, Listing, Verdict};
 use stonescale::policy::Marshal;
@@ -22,6 +21,7 @@
 use stonescale_budget::plan::NODE;
 use stonescale_budget::purpose::Reclaim;
 use stonescale_budget::{Charge, Ledger, Purpose};
+use stonescale_store::{Set, Slots, Wheel};
 use tracing::{debug, info, warn};
 
 /// How often idle connections are looked at.
@@ -29,31 +29,14 @@
 /// Arrivals taken in one batch: then news and outcomes have their turn again.
 const BATCH: usize = 64;
 
-/// Timers that stand before any are looked through: a second of the deployment's traffic.
-const LEAST_DUE: usize = 1_024;
-
-/// What comes due. The order is the one in which things due at the same time are seen to.
-#[derive(Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+/// What comes due.
+#[derive(Clone, Copy)]
 enum Due {
     Token(u64),
     Forward(u32, u8),
     Sweep,
 }
 
-impl Due {
-    /// The hit that it is for, if it is for one.
-    fn hit(self) -> Option<u32> {
-        match self {
-            Due::Forward(hit, _) => Some(hit),
-            Due::Sweep => None,
-            Due::Token(token) => match Timer::from(token) {
-                Timer::Ends(hit) | Timer::Copy(hit, _) => Some(hit),
-                Timer::Look | Timer::Ask => None,
-            },
-        }
-    }
-}
-
 /// A hit that is not done with: its answer, or the end of a forward, is still to come.
 struct Open {
     client: Rc<Client>,
@@ -61,6 +44,9 @@
     command: Command,
     answered: bool,
     forwards: Vec<Forward>,
+    /// Its timers in the module: a client may wait for minutes and be answered at once, and they must not stand on.
+    ends: Option<Set>,
+    copy: Option<Set>,
 }
 
 struct Forward {
@@ -68,18 +54,17 @@
     /// The connection, until its end was told; none where there was none to be had.
     link: Option<Rc<Link>>,
     told: bool,
+    /// When it has been waited for long enough.
+    limit: Option<Set>,
 }
 
 /// What the module's calls act on.
 pub struct Doors {
     clock: Clock,
     now: Time,
-    due: BinaryHeap<Reverse<(Time, u64, Due)>>,
-    /// Entries past which those of hits that are done with are thrown out.
-    due_most: usize,
-    set: u64,
-    hits: HashMap<u32, Open>,
-    last_hit: u32,
+    due: Wheel<Due>,
+    hits: Slots<Open>,
+    taken: u64,
     ledger: Ledger,
     /// Numbers of nodes by their listed ids, and numbers that are free again.
     ids: HashMap<String, (usize, Charge)>,
@@ -97,17 +82,13 @@
         clock: Clock, ledger: Ledger, inbox: Rc<Inbox>, nodes: Nodes, discovery: Discovery,
         platform: Rc<Platform>,
     ) -> Self {
-        let (due, hits, ids) = (BinaryHeap::new(), HashMap::new(), HashMap::new());
-        let now = clock.now();
-        let free = Vec::new();
+        let (now, ids, free) = (clock.now(), HashMap::new(), Vec::new());
         Doors {
             clock,
             now,
-            due,
-            due_most: LEAST_DUE,
-            set: 0,
-            hits,
-            last_hit: 0,
+            due: Wheel::new(now),
+            hits: Slots::default(),
+            taken: 0,
             ledger,
             ids,
             swept: false,
@@ -119,22 +100,6 @@
         }
     }
 
-    fn at(&mut self, time: Time, due: Due) {
-        if self.due.len() >= self.due_most {
-            // A client may wait for minutes and be answered at once: its timers must not pile up until then.
-            let hits = &self.hits;
-            self.due.retain(|Reverse((_, _, due))| due.hit().is_none_or(|hit| hits.contains_key(&hit)));
-            self.due_most = LEAST_DUE.max(self.due.len() * 2);
-            self.due.shrink_to(self.due_most);
-        }
-        self.set += 1;
-        self.due.push(Reverse((time, self.set, due)));
-    }
-
-    fn next_due(&self) -> Option<Time> {
-        self.due.peek().map(|Reverse(due)| due.0)
-    }
-
     /// A node's small number, by its listed id; none for a new one without room for its records.
     fn number(&mut self, id: String) -> Option<usize> {
         if let Some((number, _)) = self.ids.get(&id) {
@@ -169,7 +134,7 @@
 
     /// Answers a hit, once.
     fn answer(&mut self, hit: u32, line: impl FnOnce() -> Vec<u8>) {
-        if let Some(open) = self.hits.get_mut(&hit).filter(|open| !open.answered) {
+        if let Some(open) = self.hits.get_mut(hit).filter(|open| !open.answered) {
             open.answered = true;
             open.client.answer(open.place, Answer::Line(line()));
             self.release(hit);
@@ -178,13 +143,16 @@
 
     /// Forgets a hit that is answered, with the ends of all its forwards told.
     fn release(&mut self, hit: u32) {
-        if self.hits.get(&hit).is_some_and(|open| open.answered && open.forwards.iter().all(|f| f.told)) {
-            self.hits.remove(&hit);
+        if self.hits.get(hit).is_some_and(|open| open.answered && open.forwards.iter().all(|f| f.told)) {
+            let timers = self.hits.remove(hit).map(|open| [open.ends, open.copy]);
+            for set in timers.into_iter().flatten().flatten() {
+                self.due.cancel(set);
+            }
         }
     }
 
     fn give_up(&self, hit: u32, hop: u8, ending: Ending) {
-        let forward = self.hits.get(&hit).and_then(|open| open.forwards.get(usize::from(hop)));
+        let forward = self.hits.get(hit).and_then(|open| open.forwards.get(usize::from(hop)));
         if let Some(Forward { link: Some(link), told: false, .. }) = forward {
             self.nodes.give_up(link, hit, hop, ending);
         }
@@ -193,7 +161,7 @@
 
 impl Host for Doors {
     fn forward(&mut self, hit: u32, node: u64, timeout: Span) {
-        let Some(open) = self.hits.get_mut(&hit) else { return };
+        let Some(open) = self.hits.get_mut(hit) else { return };
         let hop = open.forwards.len() as u8;
         let link = match open.answered {
             true => Err(Ending::NoSuchNode),
@@ -201,11 +169,11 @@
         };
         match link {
             Ok(link) => {
-                open.forwards.push(Forward { sent: self.now, link: Some(link), told: false });
-                self.at(self.now + timeout, Due::Forward(hit, hop));
+                let limit = Some(self.due.set(self.now + timeout, Due::Forward(hit, hop)));
+                open.forwards.push(Forward { sent: self.now, link: Some(link), told: false, limit });
             }
             Err(ending) => {
-                open.forwards.push(Forward { sent: self.now, link: None, told: false });
+                open.forwards.push(Forward { sent: self.now, link: None, told: false, limit: None });
                 debug!("a forward could not be sent: {ending:?}");
                 self.inbox.ended(hit, hop, ending, false);
             }
@@ -238,7 +206,13 @@
     }
 
     fn wake(&mut self, wait: Span, token: u64) {
-        self.at(self.now + wait, Due::Token(token));
+        let set = self.due.set(self.now + wait, Due::Token(token));
+        match Timer::from(token) {
+            Timer::Ends(hit) => self.hits.get_mut(hit).map(|open| open.ends = Some(set)),
+            // One that stood for an earlier forward comes due by itself, and finds that ended.
+            Timer::Copy(hit, _) => self.hits.get_mut(hit).map(|open| open.copy = Some(set)),
+            Timer::Look | Timer::Ask => None,
+        };
     }
 
     fn log(&mut self, text: &str) {
@@ -253,7 +227,7 @@
 
 impl Core {
     pub fn new(marshal: Marshal, mut doors: Doors) -> Self {
-        doors.at(doors.now, Due::Sweep);
+        doors.due.set(doors.now, Due::Sweep);
         Core { marshal, doors }
     }
 
@@ -262,7 +236,7 @@
         let inbox = self.doors.inbox.clone();
         loop {
             if inbox.is_empty() {
-                let due = self.doors.next_due().map(|at| self.doors.clock.instant(at));
+                let due = self.doors.due.rest_until().map(|at| self.doors.clock.instant(at));
                 let due = async {
                     match due {
                         Some(at) => reactor::Timer::at(at).await,
@@ -291,8 +265,7 @@
         }
         let now = self.doors.clock.now();
         self.doors.now = now;
-        while self.doors.next_due().is_some_and(|at| at <= now) {
-            let Some(Reverse((_, _, due))) = self.doors.due.pop() else { break };
+        while let Some((_, due)) = self.doors.due.pop(now) {
             match due {
                 Due::Token(token) => self.marshal.woken(&mut self.doors, now, token),
                 Due::Forward(hit, hop) => self.doors.give_up(hit, hop, Ending::WaitedOut),
@@ -302,10 +275,10 @@
                     debug!(
                         "{} hits open, {} taken so far, {} node connections",
                         self.doors.hits.len(),
-                        self.doors.last_hit,
+                        self.doors.taken,
                         self.doors.nodes.open()
                     );
-                    self.doors.at(now + SWEEP, Due::Sweep);
+                    self.doors.due.set(now + SWEEP, Due::Sweep);
                 }
             }
         }
@@ -378,22 +351,25 @@
         #[cfg(feature = "mutants")]
         crate::mutants::hit();
         let now = self.doors.now;
-        self.doors.last_hit = self.doors.last_hit.wrapping_add(1);
-        let hit = self.doors.last_hit;
-        client.bind(place, hit);
+        self.doors.taken += 1;
         let (group, tenant, key) = (command.ask.group, command.ask.tenant, command.ask.key);
         // The client's wait runs since it sent the hit, not since the hit left this program's queues.
         let patience = command.ask.patience - (now - came);
         let forwards = Vec::new();
-        self.doors.hits.insert(hit, Open { client, place, command, answered: false, forwards });
+        let (bound, answered, ends, copy) = (client.clone(), false, None, None);
+        let hit = self.doors.hits.enter(Open { client, place, command, answered, forwards, ends, copy });
+        bound.bind(place, hit);
         self.marshal.taken(&mut self.doors, now, hit, (group, tenant), key, patience, None);
     }
 
     fn ended(&mut self, hit: u32, hop: u8, ending: Ending, sent: bool, value: Option<Block>) {
         let now = self.doors.now;
-        let Some(open) = self.doors.hits.get_mut(&hit) else { return };
+        let Some(open) = self.doors.hits.get_mut(hit) else { return };
         let Some(forward) = open.forwards.get_mut(usize::from(hop)).filter(|f| !f.told) else { return };
         (forward.link, forward.told) = (None, true);
+        if let Some(limit) = forward.limit.take() {
+            self.doors.due.cancel(limit);
+        }
         let (fate, latency) = (ending.fate(sent), now - forward.sent);
         if let (Some(value), false) = (value, open.answered) {
             open.answered = true;
@@ -406,7 +382,7 @@
 
     fn left(&mut self, hit: u32) {
         let now = self.doors.now;
-        if let Some(open) = self.doors.hits.get_mut(&hit) {
+        if let Some(open) = self.doors.hits.get_mut(hit) {
             open.answered = true;
             self.marshal.client_left(&mut self.doors, now, hit);
             self.doors.release(hit);
