--- a/crates/lab/src/discovery.rs
+++ b/crates/lab/src/discovery.rs
@@ -46,6 +46,8 @@
     watches: Vec<Sender<String>>,
     /// Watches end at once, and calls fail.
     down: bool,
+    /// Calls are taken, and nothing is said but what is listed from then on.
+    silent: bool,
 }
 
 /// A handle to discovery; clones are the same.
@@ -123,6 +125,11 @@
         }
     }
 
+    /// Neither tells a new watch how things stand nor gives signs of life.
+    pub fn silent(&self, silent: bool) {
+        self.lock().silent = silent;
+    }
+
     pub fn watches(&self) -> usize {
         self.lock().watches.iter().filter(|w| !w.is_closed()).count()
     }
@@ -174,7 +181,9 @@
         let (send, lines) = async_channel::bounded(4096);
         let first = self.since(since);
         self.lock().watches.push(send);
-        stream.write_all(&chunk(&first.to_string())).await?;
+        if !self.lock().silent {
+            stream.write_all(&chunk(&first.to_string())).await?;
+        }
         loop {
             let next = async { Some(lines.recv().await) };
             let beat = async {
@@ -185,6 +194,7 @@
                 Some(Ok(line)) => line,
                 // It is ended: without the last chunk, as when discovery goes down.
                 Some(Err(_)) => return Ok(()),
+                None if self.lock().silent => continue,
                 None => String::new(),
             };
             stream.write_all(&chunk(&line)).await?;
--- a/crates/lab/src/node.rs
+++ b/crates/lab/src/node.rs
@@ -85,6 +85,22 @@
     }
 }
 
+/// An answer that is still to go out.
+struct Owed {
+    at: Instant,
+    text: Vec<u8>,
+    /// The connection ends behind it.
+    close: bool,
+    /// It waits until so many commands were taken.
+    after: u64,
+}
+
+impl Owed {
+    fn at(at: Instant, text: Vec<u8>) -> Self {
+        Owed { at, text, close: false, after: 0 }
+    }
+}
+
 struct Inner {
     mood: Mood,
     manner: Manner,
@@ -235,7 +251,7 @@
     /// One connection: commands are begun as they come, and answered in their order.
     async fn serve(&self, stream: &Arc<Stream>) {
         let mut messages = Messages::default();
-        let mut owed: VecDeque<(Instant, Vec<u8>, bool)> = VecDeque::new();
+        let mut owed: VecDeque<Owed> = VecDeque::new();
         let mut mute = false;
         loop {
             let mut deaf = false;
@@ -251,12 +267,15 @@
             if mute && self.lock().mood != Mood::Silent {
                 return;
             }
-            let due = owed.front().map(|(at, ..)| *at);
+            let due = owed.front().map(|owed| (owed.at, owed.after));
             let next = async { Some(messages.next(&mut &**stream).await) };
             let answer = async {
                 match due {
-                    Some(at) => {
+                    Some((at, after)) => {
                         Timer::at(at).await;
+                        while self.taken() < after {
+                            Timer::after(Duration::from_millis(1)).await;
+                        }
                     }
                     None => futures_lite::future::pending().await,
                 }
@@ -264,7 +283,7 @@
             };
             match or(answer, next).await {
                 None => {
-                    let Some((_, text, close)) = owed.pop_front() else { continue };
+                    let Some(Owed { text, close, .. }) = owed.pop_front() else { continue };
                     if wire::write(&mut &**stream, &text).await.is_err() || close {
                         return;
                     }
@@ -288,12 +307,12 @@
     }
 
     /// Takes one command; false where the connection is to be reset.
-    async fn takes(&self, words: Vec<String>, owed: &mut VecDeque<(Instant, Vec<u8>, bool)>) -> bool {
+    async fn takes(&self, words: Vec<String>, owed: &mut VecDeque<Owed>) -> bool {
         let now = Instant::now();
         let id = words.get(2).cloned().unwrap_or_default();
         let list = words.get(3).cloned().unwrap_or_default();
         let mark = field(&list, "k").map(str::to_owned);
-        let (act, mood, more) = {
+        let (act, mood, taken) = {
             let mut inner = self.lock();
             inner.taken += 1;
             (inner.script.pop_front(), inner.mood, inner.taken)
@@ -305,28 +324,25 @@
                 self.ran(&id, mark.as_deref());
                 return false;
             }
-            (Some(Act::Nothing), _) => owed.push_back((now + NEVER, Vec::new(), true)),
+            (Some(Act::Nothing), _) => owed.push_back(Owed::at(now + NEVER, Vec::new())),
             (None, Mood::Silent | Mood::Deaf | Mood::Refusing) => {}
-            (Some(Act::Say(text)), _) => owed.push_back((now, text, false)),
-            (Some(Act::SayAndClose(text)), _) => owed.push_back((now, text, true)),
+            (Some(Act::Say(text)), _) => owed.push_back(Owed::at(now, text)),
+            (Some(Act::SayAndClose(text)), _) => owed.push_back(Owed { close: true, ..Owed::at(now, text) }),
             (Some(Act::SayMore(text)), _) => {
                 self.ran(&id, mark.as_deref());
-                owed.push_back((now, value(&id, 7), false));
-                owed.push_back((now + Duration::from_millis(1), text, false));
+                owed.push_back(Owed::at(now, value(&id, 7)));
+                owed.push_back(Owed::at(now + Duration::from_millis(1), text));
             }
             (Some(Act::Hold), _) => {
-                while self.taken() <= more {
-                    Timer::after(Duration::from_millis(1)).await;
-                }
                 self.ran(&id, mark.as_deref());
-                owed.push_back((now, value(&id, 7), false));
+                owed.push_back(Owed { after: taken + 1, ..Owed::at(now, value(&id, 7)) });
             }
             (None, Mood::Well) => {
                 let (ready, text) = self.works(&id, &list);
                 self.ran(&id, mark.as_deref());
                 // Answers go out in the commands' order.
-                let ready = owed.back().map_or(ready, |(at, ..)| ready.max(*at));
-                owed.push_back((ready, text, false));
+                let ready = owed.back().map_or(ready, |last| ready.max(last.at));
+                owed.push_back(Owed::at(ready, text));
             }
         }
         true
--- a/crates/lab/src/program.rs
+++ b/crates/lab/src/program.rs
@@ -44,11 +44,18 @@
 impl Program {
     /// Starts `binary serve` with this configuration and further arguments, and waits until it listens.
     pub fn start(binary: &Path, config: &Value, args: &[&str]) -> Result<Self, String> {
+        Self::start_in(binary, config, args, &[])
+    }
+
+    /// The same, in an environment of these variables.
+    pub fn start_in(
+        binary: &Path, config: &Value, args: &[&str], env: &[(&str, &str)],
+    ) -> Result<Self, String> {
         let path = fresh_path("json");
         std::fs::write(&path, config.to_string()).map_err(|e| format!("{}: {e}", path.display()))?;
         let mut command = Command::new(binary);
         command.arg("serve").arg("--config").arg(&path).args(args);
-        command.env_clear();
+        command.env_clear().envs(env.iter().copied());
         // Which deliberate fault a build for tests is to have.
         command.envs(std::env::var("STONESCALE_MUTANT").map(|mutant| ("STONESCALE_MUTANT", mutant)));
         command.stdin(Stdio::null()).stdout(Stdio::null()).stderr(Stdio::piped());
--- a/crates/lab/src/stage.rs
+++ b/crates/lab/src/stage.rs
@@ -114,3 +114,12 @@
     }
     true
 }
+
+/// Waits in a story for the next of what a stand-in tells; none where nothing comes in time.
+pub fn next<T>(told: &async_channel::Receiver<T>, limit: Duration) -> Option<T> {
+    let late = async {
+        Timer::after(limit).await;
+        None
+    };
+    async_io::block_on(futures_lite::future::or(async { told.recv().await.ok() }, late))
+}
