--- a/crates/lab/src/checker.rs
+++ b/crates/lab/src/checker.rs
@@ -20,6 +20,67 @@
     /// Forwards over the cap that pass, and the part of the cap that passes besides.
     pub allowance: f64,
     pub over_cap: f64,
+    pub cold: Cold,
+}
+
+/// When a cold node falls over, as the settings state it.
+#[derive(Clone, Copy, Debug)]
+pub struct Cold {
+    /// Part of its capacity that it starts with, and the time in which it rises evenly to the whole.
+    pub from: f64,
+    pub span: Span,
+    /// Sent so many times what it can do at the moment, for so long, it falls over.
+    pub multiple: f64,
+    pub lasts: Span,
+}
+
+impl Cold {
+    /// Part of its capacity that a node has, so long after its start.
+    fn ramp(&self, age: Span) -> f64 {
+        (self.from + (1.0 - self.from) * age.over(self.span)).min(1.0)
+    }
+}
+
+/// Forwards to a node are counted in steps of this length, to be held against what it can do.
+const STEP: Span = Span::millis(100);
+
+/// What a node that started cold was sent.
+#[derive(Clone, Copy)]
+struct Warming {
+    started: Time,
+    /// Commands a second that it can do when it is warm.
+    capacity: f64,
+    /// The present step since its start, and forwards in it.
+    step: u64,
+    count: u32,
+    /// Since when each step was too much, and whether it was cold then.
+    over: Option<(u64, bool)>,
+}
+
+impl Warming {
+    /// Takes in a forward; true where it completes a push over a cold node.
+    fn takes(&mut self, cold: &Cold, now: Time) -> bool {
+        let step = ((now - self.started).as_nanos()) / STEP.as_nanos();
+        let mut pushed = false;
+        if step != self.step {
+            let at = |step: u64| STEP * step as f64;
+            let ramp = cold.ramp(at(self.step));
+            let much = f64::from(self.count) > cold.multiple * ramp * self.capacity * STEP.seconds();
+            let since = self.over.unwrap_or((self.step, ramp < 1.0));
+            self.over = much.then_some(since);
+            let long = |(from, was_cold): (u64, bool)| was_cold && at(self.step + 1 - from) >= cold.lasts;
+            if self.over.is_some_and(long) {
+                (pushed, self.over) = (true, None);
+            }
+            if step > self.step + 1 {
+                // Steps without any forward lie between.
+                self.over = None;
+            }
+            (self.step, self.count) = (step, 0);
+        }
+        self.count += 1;
+        pushed
+    }
 }
 
 impl Default for Bounds {
@@ -32,6 +93,7 @@
             window: Span::millis(1_000),
             allowance: 1.0 + 2.0,
             over_cap: 1.04,
+            cold: Cold { from: 0.3, span: Span::millis(1_000), multiple: 2.0, lasts: Span::millis(3_000) },
         }
     }
 }
@@ -109,6 +171,7 @@
     /// Ids in the order they were sent, to be forgotten.
     order: VecDeque<(Time, String)>,
     nodes: HashMap<String, Listed>,
+    warming: HashMap<String, Warming>,
     caps: BTreeMap<u16, Cap>,
     newest: Option<(u16, bool)>,
     first_cap: f64,
@@ -141,6 +204,7 @@
             hits: HashMap::new(),
             order: VecDeque::new(),
             nodes: HashMap::new(),
+            warming: HashMap::new(),
             caps: BTreeMap::new(),
             newest: None,
             first_cap,
@@ -244,6 +308,11 @@
                 self.breaks(2, now, format!("mutating hit {id} was sent to {node}, and may have run before"));
             }
         }
+        let cold = self.bounds.cold;
+        if self.warming.get_mut(node).is_some_and(|warming| warming.takes(&cold, now)) {
+            let lasts = cold.lasts.seconds();
+            self.breaks(4, now, format!("{node} was sent too much for {lasts:.1} s since it was cold"));
+        }
         let Some(listed) = self.nodes.get(node).copied() else { return };
         let grace = self.bounds.drain_grace + self.bounds.sockets;
         if let Some(told) = listed.leaving.filter(|told| now - *told > grace) {
@@ -307,6 +376,15 @@
         self.nodes.insert(node.to_owned(), Listed { build, leaving });
     }
 
+    /// A node starts now, cold; warm, it can do so many commands a second.
+    pub fn starts(&mut self, node: &str, capacity: f64, now: Time) {
+        // Those that are warm for long are not looked at any more.
+        let Cold { span, lasts, .. } = self.bounds.cold;
+        self.warming.retain(|_, warming| now - warming.started <= span + lasts * 2.0);
+        let warming = Warming { started: now, capacity, step: 0, count: 0, over: None };
+        self.warming.insert(node.to_owned(), warming);
+    }
+
     /// The marshal was told where the newest build stands.
     pub fn staged(&mut self, build: u16, on_trial: bool, cap: f64, now: Time) {
         self.newest = Some((build, on_trial));
--- a/crates/lab/src/node.rs
+++ b/crates/lab/src/node.rs
@@ -335,7 +335,12 @@
             }
             (Some(Act::Nothing), _) => owed.push_back(Owed::at(now + NEVER, Vec::new())),
             (None, Mood::Silent | Mood::Deaf | Mood::Refusing) => {}
-            (Some(Act::Say(text)), _) => owed.push_back(Owed::at(now, text)),
+            (Some(Act::Say(text)), _) => {
+                if text.starts_with(b"-BUSY") {
+                    self.books.lock().refused(&id);
+                }
+                owed.push_back(Owed::at(now, text));
+            }
             (Some(Act::SayAndClose(text)), _) => owed.push_back(Owed { close: true, ..Owed::at(now, text) }),
             (Some(Act::SayMore(text)), _) => {
                 self.ran(&id, mark.as_deref());
--- a/crates/lab/src/world.rs
+++ b/crates/lab/src/world.rs
@@ -75,11 +75,14 @@
         let now_ms = now_ms.as_nanos() / 1_000_000;
         let first = self.started;
         self.started += many;
+        let capacity = manner.cores as f64 / manner.work.as_secs_f64().max(1e-6);
         let fresh: Vec<_> = (first..self.started)
             .map(|n| {
                 Node::start(&self.stage, &format!("s-{n}"), n as u64, manner.clone(), self.books.clone())
             })
             .collect();
+        let now = self.stage.clock.now();
+        fresh.iter().for_each(|n| self.books.lock().starts(&n.name, capacity, now));
         self.discovery
             .list(fresh.iter().map(|n| Entry { started_ms: now_ms, ..Entry::up(&n.name, n.addr, build) }));
         let names = fresh.iter().map(|n| n.name.clone()).collect();
--- a/crates/lab/tests/books.rs
+++ b/crates/lab/tests/books.rs
@@ -72,6 +72,11 @@
     b.sent("late", asked(READ), at(1_070));
     b.forwarded("old", "late", at(1_071));
 })]
+#[case::a_cold_node_pushed_over(4, READ, |b: &mut Checker| {
+    b.starts("old", 20.0, at(0));
+    // Warm after a second, it can do 20 a second: 50 are too much all the time.
+    (0..200).for_each(|n| b.forwarded("old", &n.to_string(), at(n * 20)));
+})]
 #[case::over_the_cap(5, READ, |b: &mut Checker| four(b, "new", 1))]
 #[case::over_a_lowered_cap(5, READ, |b: &mut Checker| {
     b.staged(5, true, 1.0, at(1));
@@ -106,6 +111,19 @@
     b.listed("old", 4, true, at(0));
     b.forwarded("old", "h", at(400));
 })]
+#[case::a_cold_node_kept_busy(READ, |b: &mut Checker| {
+    b.starts("old", 20.0, at(0));
+    (0..200).for_each(|n| b.forwarded("old", &n.to_string(), at(n * 50)));
+})]
+#[case::a_cold_node_pushed_for_two_seconds(READ, |b: &mut Checker| {
+    b.starts("old", 20.0, at(0));
+    (0..100).for_each(|n| b.forwarded("old", &n.to_string(), at(n * 20)));
+    (0..40).for_each(|n| b.forwarded("old", &n.to_string(), at(2_200 + n * 100)));
+})]
+#[case::a_warm_node_overloaded(READ, |b: &mut Checker| {
+    b.starts("old", 20.0, at(0));
+    (0..200).for_each(|n| b.forwarded("old", &n.to_string(), at(1_500 + n * 20)));
+})]
 #[case::within_the_allowance(READ, |b: &mut Checker| (0..3).for_each(|n| b.forwarded("new", &n.to_string(), at(n))))]
 #[case::a_client_that_left(READ, |b: &mut Checker| b.left("h", false, at(100)))]
 fn what_is_lawful_is_not_held_against_it(#[case] effect: Effect, #[case] play: Play) {
