--- a/crates/lab/src/checker.rs
+++ b/crates/lab/src/checker.rs
@@ -265,7 +265,10 @@
             Outcome::Delivered => self.totals.delivered += 1,
             Outcome::Bounced => self.totals.bounced += 1,
             Outcome::Errored => self.totals.errored += 1,
-            Outcome::Wrong => self.breaks(1, now, format!("hit {id} got a value made for another")),
+            Outcome::Wrong => {
+                let sent = took.seconds();
+                self.breaks(1, now, format!("hit {id}, sent {sent:.3} s ago, got a value made for another"));
+            }
         }
         if before.is_some() {
             self.breaks(1, now, format!("hit {id} was answered twice"));
--- a/crates/marshal/src/nodes.rs
+++ b/crates/marshal/src/nodes.rs
@@ -329,6 +329,22 @@
     }
 }
 
+/// Whether an error line has one of the forms that nodes use: `ERR failed`, `BUSY` or `SYNTAX`, with figures behind. A line
+/// that lost its end runs on into the next answer; taken for an error, it would hide that one, and all answers behind it
+/// would go to the wrong hits. May hurt where nodes word their errors in other ways: each costs a connection.
+fn known(line: &[u8]) -> bool {
+    let mut words = line.split(|b| *b == b' ');
+    let head = match words.next() {
+        Some(b"ERR") => words.next() == Some(b"failed"),
+        Some(b"BUSY") => true,
+        Some(b"SYNTAX") => return true,
+        _ => false,
+    };
+    let plain = |b: &u8| b.is_ascii_alphanumeric() || b"=._-".contains(b);
+    let figure = |w: &[u8]| w.iter().all(plain) && (w.contains(&b'=') || w.iter().all(u8::is_ascii_digit));
+    head && words.all(figure)
+}
+
 /// The task of one connection.
 struct Carrier {
     link: Rc<Link>,
@@ -443,6 +459,9 @@
             let ending = match (scanner.array, first.kind) {
                 // Load report and null that may follow are read past.
                 (true, Kind::Bulk) => Ending::Served,
+                (false, Kind::Error) if !known(&bytes[first.text.clone()]) => {
+                    return Err("an error of no known form");
+                }
                 (false, Kind::Error) if bytes[first.text.clone()].starts_with(b"BUSY") => Ending::SaidBusy,
                 (false, Kind::Error) => Ending::SaidFailed,
                 _ => return Err("neither a value nor an error"),
--- a/crates/marshal/tests/sockets.rs
+++ b/crates/marshal/tests/sockets.rs
@@ -379,6 +379,21 @@
     assert_eq!(client.ask(), SERVED);
 }
 
+#[rstest]
+#[case::run_on("-ERR a line without its end*x\r\n")]
+#[case::run_on_into_a_failure("-ERR failed inflight=1-ERR failed inflight=1\r\n")]
+#[case::run_on_into_noise("-BUSY \u{1}\r\n")]
+#[case::of_another_kind("-WRONGTYPE of value\r\n")]
+fn an_error_line_of_no_known_form_ends_the_connection(#[case] text: &str) {
+    let node = node([say(text)]);
+    let marshal = Marshal::start(&[&node]);
+    let mut client = marshal.client();
+    assert_eq!(client.ask(), "-ERR failed\r\n");
+    assert!(!told(&node).is_empty());
+    assert!(told(&node).is_empty(), "what came behind it could be another hit's");
+    assert_eq!(client.ask(), SERVED);
+}
+
 #[rstest]
 fn a_second_copy_that_comes_a_moment_later_is_not_the_next_hits_answer() {
     let node = node([Act::SayMore("*1\r\n$5\r\nwrong\r\n".into())]);
