Store and capture: no saved proptest cases; the end by reset without a special figure

A case from breaking the wheel on purpose had been committed as a regression; both test files keep none now, as the others do. All their tests pass.

--- a/crates/capture/src/half.rs
+++ b/crates/capture/src/half.rs
@@ -143,7 +143,7 @@
         self.pass_on(&mut out);
         if segment.rst {
             // What came ahead of a hole before a reset is the last that will be known.
-            self.give_up(u64::MAX, &mut out);
+            self.give_up(0, &mut out);
             self.shift(State::Reset);
         }
     }
@@ -277,7 +277,6 @@
 
     /// Gives up holes until no more than `keep` bytes wait behind any.
     pub fn give_up(&mut self, keep: u64, out: &mut impl FnMut(Piece)) {
-        let keep = if keep == u64::MAX { 0 } else { keep };
         while self.held() > keep {
             self.skip(out);
         }
--- a/crates/capture/tests/half.rs
+++ b/crates/capture/tests/half.rs
@@ -18,6 +18,8 @@
 }
 
 proptest! {
+    #![proptest_config(ProptestConfig { failure_persistence: None, ..ProptestConfig::default() })]
+
     #[test]
     fn any_segmentation_order_and_repetition_gives_the_same_bytes(
         text in prop::collection::vec(any::<u8>(), 1..300),
--- a/crates/store/tests/model.rs
+++ b/crates/store/tests/model.rs
@@ -6,6 +6,8 @@
 use stonescale_store::{Set, Slots, Wheel};
 
 proptest! {
+    #![proptest_config(ProptestConfig { failure_persistence: None, ..ProptestConfig::default() })]
+
     #[test]
     fn slots_find_what_a_map_finds(steps in prop::collection::vec((0..4u8, any::<u16>()), 1..600)) {
         let (mut slots, mut map, mut numbers) = (Slots::default(), HashMap::new(), Vec::new());
