--- a/crates/marshal/tests/memory.rs
+++ b/crates/marshal/tests/memory.rs
@@ -53,7 +53,8 @@
 }
 
 /// Keeps on for `least`, and until of some reads that end one after another more than this share is delivered: a
-/// machine that was held up for a moment has further ones looked at. Returns the most that was resident meanwhile.
+/// machine that was held up for a moment has further ones looked at. The load ends then; returns the most that was
+/// resident meanwhile.
 fn served(world: &World, load: &Load, share: f64, least: Duration) -> usize {
     let (start, mut good, mut last) = (Instant::now(), false, String::new());
     load.count_anew();
@@ -69,6 +70,7 @@
         start.elapsed() >= LONG || good && start.elapsed() >= least
     });
     assert!(good, "delivered {last}");
+    load.finish();
     most
 }
 
@@ -77,7 +79,6 @@
     world.mood(Mood::Well);
     let reads = world.load(Plan::reads(100.0, 9));
     served(world, &reads, 0.95, Duration::ZERO);
-    reads.finish();
 }
 
 // A flood of repeats under new marks, 40 KB each, while every node is silent.
@@ -103,7 +104,6 @@
     std::thread::sleep(Duration::from_millis(1_000));
     let reads = world.load(Plan::reads(100.0, 3));
     let most = served(&world, &reads, 0.9, TROUBLE);
-    reads.finish();
     drop(flood);
     assert!(most < 8 * MIB, "resident {most}");
     all_is_back(&world);
@@ -117,7 +117,6 @@
     std::thread::sleep(Duration::from_millis(1_500));
     let reads = world.load(Plan::reads(50.0, 3));
     served(&world, &reads, 0.5, TROUBLE);
-    reads.finish();
     drop(flood);
     all_is_back(&world);
 }
@@ -142,7 +141,6 @@
     std::thread::sleep(Duration::from_millis(500));
     let reads = world.load(Plan::reads(100.0, 3));
     let most = served(&world, &reads, 0.9, TROUBLE);
-    reads.finish();
     drop(halves);
     assert!(most < 8 * MIB, "resident {most}");
     all_is_back(&world);
@@ -175,7 +173,6 @@
     let reads = world.load(Plan::reads(100.0, 3));
     std::thread::sleep(Duration::from_millis(500));
     let most = served(&world, &reads, 0.9, TROUBLE);
-    reads.finish();
     drop(flood);
     assert!(most < 8 * MIB, "resident {most}");
     all_is_back(&world);
@@ -210,7 +207,6 @@
     let line = world.program.logged("are left out", LONG).unwrap();
     assert!(line.contains("nodes of the list"), "{line}");
     let most = served(&world, &reads, 0.95, TROUBLE / 2);
-    reads.finish();
     assert!(most < 32 * MIB, "resident {most}");
     assert_eq!(world.books.verdict(), "");
 }
@@ -231,7 +227,6 @@
     (40..80).for_each(round);
     world.discovery.say(Some("x".repeat(6 << 20)));
     let most = served(&world, &reads, 0.95, TROUBLE / 2);
-    reads.finish();
     assert!(most < before + MIB, "resident {before}, then {most}");
 }
 
