--- a/crates/lab/src/node.rs
+++ b/crates/lab/src/node.rs
@@ -133,6 +133,8 @@
     end: Sender<()>,
 }
 
+/// The load report of an answer, by the protocol page.
+const REPORT: &str = "inflight=7,queue=2,util=0.61";
 /// An answer that will not come, nor any behind it on its connection: answers keep their commands' order.
 const NEVER: Duration = Duration::from_secs(86_400);
 /// Commands noted for a story; what goes past it is forgotten.
@@ -376,7 +378,7 @@
         *free = ready;
         let luck: f64 = chance.random_range(0.0..1.0);
         let text = if luck < part(manner.fails) {
-            b"-ERR failed inflight=1\r\n".to_vec()
+            format!("-ERR failed {REPORT}\r\n").into_bytes()
         } else if luck < part(manner.fails) + manner.spoils {
             spoilt(chance)
         } else if luck < part(manner.fails) + manner.spoils + part(manner.lies) {
@@ -405,7 +407,8 @@
     text.resize(size.max(text.len()), b'.');
     let mut out = b"*3\r\n".to_vec();
     stonescale_formats::resp::write_bulk(&mut out, &text);
-    out.extend_from_slice(b"$-1\r\n$10\r\ninflight=1\r\n");
+    out.extend_from_slice(b"$-1\r\n");
+    stonescale_formats::resp::write_bulk(&mut out, REPORT.as_bytes());
     out
 }
 
--- a/crates/marshal/src/nodes.rs
+++ b/crates/marshal/src/nodes.rs
@@ -329,9 +329,10 @@
     }
 }
 
-/// Whether an error line has one of the forms that nodes use: `ERR failed`, `BUSY` or `SYNTAX`, with figures behind. A line
-/// that lost its end runs on into the next answer; taken for an error, it would hide that one, and all answers behind it
-/// would go to the wrong hits. May hurt where nodes word their errors in other ways: each costs a connection.
+/// Whether an error line has one of the protocol's forms: `ERR failed`, `BUSY` or `BUSY MS`, each with a load report
+/// behind it or none, or `SYNTAX`. A line that lost its end runs on into the next answer; taken for an error, it would hide
+/// that one, and all answers behind it would go to the wrong hits. May hurt where nodes word their errors in other ways:
+/// each costs a connection, and counts as one that broke.
 fn known(line: &[u8]) -> bool {
     let mut words = line.split(|b| *b == b' ');
     let head = match words.next() {
@@ -340,9 +341,14 @@
         Some(b"SYNTAX") => return true,
         _ => false,
     };
-    let plain = |b: &u8| b.is_ascii_alphanumeric() || b"=._-".contains(b);
-    let figure = |w: &[u8]| w.iter().all(plain) && (w.contains(&b'=') || w.iter().all(u8::is_ascii_digit));
-    head && words.all(figure)
+    // `inflight=7,queue=2,util=0.61`, or a number.
+    let plain = |b: &u8| b.is_ascii_alphanumeric() || b"._-".contains(b);
+    let item = |item: &[u8]| {
+        let mut sides = item.split(|b| *b == b'=');
+        sides.clone().count() <= 2 && sides.all(|side| !side.is_empty() && side.iter().all(plain))
+    };
+    let figures = |word: &[u8]| word.contains(&b'=') || word.iter().all(u8::is_ascii_digit);
+    head && words.all(|word| figures(word) && word.split(|b| *b == b',').all(item))
 }
 
 /// The task of one connection.
--- a/crates/marshal/tests/sockets.rs
+++ b/crates/marshal/tests/sockets.rs
@@ -379,9 +379,23 @@
     assert_eq!(client.ask(), SERVED);
 }
 
+#[rstest]
+#[case::failed("-ERR failed\r\n", "-ERR failed\r\n")]
+#[case::with_a_report("-ERR failed inflight=7,queue=2,util=0.61\r\n", "-ERR failed\r\n")]
+#[case::turned_away_with_both("-BUSY 80 inflight=7,queue=2,util=0.61\r\n", SERVED)]
+fn an_error_line_as_the_protocol_words_it_keeps_the_connection(#[case] text: &str, #[case] expected: &str) {
+    let node = node([say(text)]);
+    let marshal = Marshal::start(&[&node]);
+    let mut client = marshal.client();
+    assert_eq!(client.ask(), expected);
+    assert_eq!(client.ask(), SERVED);
+    assert!((0..2).all(|_| !told(&node).is_empty()), "a build that fails is no connection that breaks");
+}
+
 #[rstest]
 #[case::run_on("-ERR a line without its end*x\r\n")]
 #[case::run_on_into_a_failure("-ERR failed inflight=1-ERR failed inflight=1\r\n")]
+#[case::run_on_into_a_value("-ERR failed inflight=7,queue=2,util=0.61*3\r\n")]
 #[case::run_on_into_noise("-BUSY \u{1}\r\n")]
 #[case::of_another_kind("-WRONGTYPE of value\r\n")]
 fn an_error_line_of_no_known_form_ends_the_connection(#[case] text: &str) {
