--- a/crates/lab/src/soak.rs
+++ b/crates/lab/src/soak.rs
@@ -32,6 +32,9 @@
     pub seed: u64,
     pub nodes: usize,
     pub limits: Limits,
+    /// Time in which nodes close an idle connection, as the marshal is told: what a trouble leaves open is to be closed
+    /// soon after it, or the order of troubles shows as noise in what is looked at while it is quiet.
+    pub keepalive: Duration,
     /// Usual hits a second, and clients of each kind that misbehave.
     pub rate: f64,
     pub rogues: usize,
@@ -81,12 +84,14 @@
         };
         let phase = span(&mut sheet, "phase", Span::millis(4_000))?;
         let sample = span(&mut sheet, "sample", Span::millis(500))?;
+        let keepalive = span(&mut sheet, "keepalive", Span::millis(3_000))?;
         if phase.is_zero() || sample.is_zero() {
             return Err(sheet.wrong("soak", Some("phase"), "and sample must be longer than nothing"));
         }
         let scenario = Scenario {
             phase,
             sample,
+            keepalive,
             seed: sheet.take("soak", "seed", 1, number(0, u64::MAX), u64::to_string)?,
             nodes: sheet.take("soak", "nodes", 6, number(1, 200), usize::to_string)?,
             limits: Limits {
@@ -171,7 +176,9 @@
     std::fs::write(&operator, text).map_err(|e| format!("{}: {e}", operator.display()))?;
     let usual = Manner { cores: 8, ..Manner::default() };
     let args = ["--operator", operator.to_str().unwrap_or_default()];
-    let world = World::start(binary, scenario.nodes, scenario.limits, &usual, &args)?;
+    let keepalive = scenario.keepalive.as_nanos() as u64;
+    let change = |config: &mut Value| config["settings"]["limits"]["keepalive_ns"] = keepalive.into();
+    let world = World::start_with(binary, scenario.nodes, scenario.limits, &usual, &args, change)?;
     let load = world.load(Plan::mixed(scenario.rate, scenario.seed));
     let table = Timetable::draw(&scenario.troubles, scenario.cycles, scenario.phase, scenario.seed);
     let mut run = Run {
--- a/crates/lab/src/world.rs
+++ b/crates/lab/src/world.rs
@@ -9,6 +9,7 @@
 use crate::rogue::{self, Rogues};
 use crate::site::{self, Group, Limits};
 use crate::stage::Stage;
+use serde_json::Value;
 use std::path::Path;
 use std::time::Duration;
 
@@ -32,6 +33,14 @@
     /// Starts everything; `args` go to the marshal's command line.
     pub fn start(
         binary: &Path, nodes: usize, limits: Limits, manner: &Manner, args: &[&str],
+    ) -> Result<Self, String> {
+        Self::start_with(binary, nodes, limits, manner, args, |_| ())
+    }
+
+    /// The same, with a change to the marshal's configuration.
+    pub fn start_with(
+        binary: &Path, nodes: usize, limits: Limits, manner: &Manner, args: &[&str],
+        change: impl FnOnce(&mut Value),
     ) -> Result<Self, String> {
         let (stage, groups) = (Stage::default(), site::groups());
         let books = Books::new(Checker::new(Bounds::default(), 0.1));
@@ -42,7 +51,8 @@
             .collect();
         discovery.list(nodes.iter().map(|n| Entry::up(&n.name, n.addr, FIRST_BUILD)));
         let news = platform.news().json(0);
-        let config = site::config(limits, discovery.addr, platform.addr, &news, &discovery.all());
+        let mut config = site::config(limits, discovery.addr, platform.addr, &news, &discovery.all());
+        change(&mut config);
         let program = Program::start(binary, &config, args)?;
         let started = nodes.len();
         Ok(World { program, nodes, discovery, platform, books, groups, stage, started })
