--- a/src/policy.rs
+++ b/src/policy.rs
@@ -37,7 +37,9 @@
 const SLOW_LOOKS: u32 = 7; // in a row, to a drag
 const SLOWEST: f64 = 2.0; // times the usual time for like work that one answer counts at most
 const RENEW: f64 = 0.6; // of a vote's life
+const RENEW_OF_MANY: f64 = 0.9; // where more votes must stand than the platform takes calls in a vote's life
 const CONVICT: f64 = 6.9; // log odds at which reports of wrong answers convict: one in a thousand
+const CONVICT_OF_MANY: f64 = 1.0; // where many must vote: one report, till some 35 right answers follow
 const MISTAKEN: f64 = 1.0 / 4.0; // reports by mistake, against those of a build that is wrong at the floor
 
 const LEARN: f64 = 0.1; // weight of one outcome in a node's pace
@@ -64,8 +66,8 @@
 const COME_BACK: f64 = 0.2; // of the target latency: then a bounced hit may still be answered in time
 const SHED: f64 = 0.8; // of the target latency: longest expected wait of the best hits
 const SHED_FROM: f64 = 0.4; // of that, for worthless ones
-/// Keys remembered as answered by the newest build: 57,344 fill a table of 64 Ki places, some 600 KB. Past it, new
-/// keys stay with the earlier build as long as that has nodes: a key forgotten might return.
+/// Keys remembered as answered by the newest build: 57,344 fill a table of 64 Ki places, some 600 KB. Past it,
+/// new keys stay with the earlier build as long as that has nodes: a key forgotten might return.
 pub const MOST_KEYS: usize = (1 << 16) / 8 * 7;
 const SHED_MOST: f64 = 0.95; // the few that go all the same show when the wait is over
 const ASK_AGAIN: Span = Span::millis(500); // first wait after a failed call for the list, then doubled
@@ -75,7 +77,7 @@
     (-since.over(FORGIVE)).exp()
 }
 
-/// When a bounced client may come back: soon enough to be answered in time still, if it obeys so short a wait.
+/// When a bounced client may come back: soon enough to be answered in time, if it obeys so short a wait.
 pub fn come_back(target: Span, longest: Span) -> Span {
     (target * COME_BACK).min(longest)
 }
@@ -171,21 +173,33 @@
         (VOTERS * self.ballot.needed.max(1)).min(self.ballot.marshals.max(1))
     }
 
+    /// So many votes are needed that they tell a bad build from chance together: each marshal then votes on
+    /// what is unlikely by chance alone (one in ten or less), where one on its own must be sure. With 20 of
+    /// 80 needed, 8 are expected by chance, and 20 lie over four deviations off.
+    /// May harm: what strikes all marshals, the new build's nodes more than others, and is not the build.
+    fn of_many(&self) -> bool {
+        self.ballot.needed as f64 >= ENOUGH
+    }
+
     /// Clearly exceeded: by 3 and by half again, as if at least 20 outcomes were in, the missing ones good.
     /// Rows are a path group's outcomes, its e, and how many outcomes of earlier builds tell that.
-    fn exceeds(rows: &[(Count, f64, f64)], whole: f64) -> bool {
+    fn exceeds(rows: &[(Count, f64, f64)], whole: f64, of_many: bool) -> bool {
         // All path groups together, then each by itself.
         std::iter::once(rows).chain(rows.chunks(1)).any(|part| {
             let sum = |f: fn(&(Count, f64, f64)) -> f64| part.iter().map(f).sum::<f64>();
             let (n, bad, expected) = (sum(|r| r.0.n), sum(|r| r.0.bad), sum(|r| r.0.n * r.1));
-            let predicted = expected * (ENOUGH * whole / n.max(1.0)).max(1.0);
+            let filled = if of_many { 1.0 } else { (ENOUGH * whole / n.max(1.0)).max(1.0) };
+            let predicted = expected * filled;
             // Many groups judged look after look make one verdict's error that of many, most of all where
             // the earlier build drains and few outcomes tell e: alone, a group must stand out beyond chance,
             // that of e too.
             // May harm: a build that fails one dear path group a little and is met late.
             let guess = predicted * (1.0 + n / sum(|r| r.2).max(ENOUGH));
-            let chance = if part.len() < rows.len() { CHANCE * guess.sqrt() } else { 0.0 };
-            let excess = (EXCESS * whole).max(chance);
+            let excess = match (of_many, part.len() < rows.len()) {
+                (true, alone) => CHANCE * if alone { MARGIN } else { 1.0 } * guess.sqrt(),
+                (false, true) => (EXCESS * whole).max(CHANCE * guess.sqrt()),
+                (false, false) => EXCESS * whole,
+            };
             n > 0.0 && bad >= predicted + excess && bad >= predicted * MARGIN
         })
     }
@@ -212,16 +226,18 @@
         // Missing outcomes stand at the share of all, old or latest: by a floor that light traffic never
         // replaced, the build would be blamed for what strikes every one.
         let share = all.share().max(lately.share());
+        let (of_many, floor) = (self.of_many(), if self.of_many() { FLOOR / VOTERS as f64 } else { FLOOR });
         let known = by_group(&earlier, groups);
         for (e, c) in self.e.iter_mut().zip(&known) {
             let missing = (ENOUGH - c.n).max(0.0);
-            *e = ((c.bad + missing * share) / (c.n + missing)).max(FLOOR);
+            *e = ((c.bad + missing * share) / (c.n + missing)).max(floor);
         }
         // Sick nodes are not the build: it must fail clearly without the worst third of them, or without one
         // more than look sick elsewhere.
         let ill = |n: &&Node| n.build != build && n.blame >= BLAME && !n.silent(now);
         let sick = fleet.ready().filter(ill).count();
-        let spare = (1 + sick).max(nodes.len().div_ceil(3)).min(nodes.len());
+        let usual_spare = (1 + sick).max(nodes.len().div_ceil(3));
+        let spare = if of_many { sick } else { usual_spare }.min(nodes.len());
         let given_up = if self.ballot.needed > VOTERS { spare } else { 0 };
         let sure = 1.0 - given_up as f64 / nodes.len().max(1) as f64;
         let rows = |counts: Vec<Count>, e: &[f64], known: &[Count]| {
@@ -232,13 +248,13 @@
         let mut worst_first = nodes.clone();
         worst_first.sort_by(|a, b| Count::of(&b.1).bad.total_cmp(&Count::of(&a.1).bad));
         let spared = rows(by_group(&worst_first[spare..], groups), &self.e, &known);
-        let own = Self::exceeds(&met, 1.0) && Self::exceeds(&spared, sure);
+        let own = Self::exceeds(&met, 1.0, of_many) && Self::exceeds(&spared, sure, of_many);
         // With few own outcomes, the platform's sums judge if any own one points the same way.
         let sums = |of: &dyn Fn(u16) -> bool| by_group(&self.sums.by_source(from, groups, of), groups);
         let told = || {
             let before = sums(&|b| b < build);
             let e: Vec<f64> = before.iter().map(|c| c.share().max(FLOOR)).collect();
-            Self::exceeds(&rows(sums(&|b| b == build), &e, &before), 1.0)
+            Self::exceeds(&rows(sums(&|b| b == build), &e, &before), 1.0, false)
         };
         if own || (n < ENOUGH && total(&nodes).bad > 0.0 && told()) {
             let shown: String =
@@ -253,7 +269,20 @@
         slow.then(|| format!("slow: {:.2} over {usual:.2}", quicker.pace()))
     }
 
+    /// Where more votes must stand at once than the platform takes calls in a vote's life, marshals that
+    /// voted as they please would never be enough. It saves up calls that nobody makes (32 were taken at once
+    /// where it takes 16 a second), so all vote back in one span and rest in the next, by the stage's age,
+    /// which all know; the holds at a stage's begin come before. May harm: a bad build stays a rest longer.
+    fn in_turn(&self, standing: Standing, age: Span) -> bool {
+        let Ballot { needed, stands, calls_per_s, .. } = self.ballot;
+        let (turn, round) = (stands * RENEW_OF_MANY, needed as f64 * HOLDERS / calls_per_s.max(1.0));
+        let begin = if standing == Standing::OnTrial { HOLD } else { Span::ZERO };
+        let at = (age.seconds() - begin.seconds()).rem_euclid(round);
+        !self.of_many() || round <= turn.seconds() || at < turn.seconds()
+    }
+
     fn wanted(&self, enough: bool, now: Time) -> (u16, u8, Verdict) {
+        let stands = self.ballot.stands;
         let Some((build, stage, standing, _, since)) = self.told else { return (0, 0, Verdict::None) };
         let (clock, age) = (self.ballot.control == Control::Clock, now - since);
         // Few more than needed hold, so that the platform can take their withdrawals in time.
@@ -261,7 +290,13 @@
         let verdict = match standing {
             // A stage that moves on draws other voters; who votes back stays.
             _ if self.record.rank >= self.voters() && self.vote.2 != Verdict::Back => Verdict::None,
-            _ if standing.open() && now < self.record.back_until => Verdict::Back,
+            // Its hold lapses by itself, and gives the others time for their votes.
+            _ if self.of_many() && self.vote == (build, stage, Verdict::Hold) && now - self.cast < stands => {
+                Verdict::Hold
+            }
+            _ if standing.open() && now < self.record.back_until && self.in_turn(standing, age) => {
+                Verdict::Back
+            }
             Standing::OnTrial if clock && !enough && age < HOLD && holder => Verdict::Hold,
             Standing::OnTrial if !clock && enough && age >= HOLD => Verdict::On,
             _ => Verdict::None,
@@ -272,13 +307,27 @@
     fn vote(&mut self, host: &mut impl Host, now: Time) {
         let Ballot { stands, call_timeout, calls_per_s, .. } = self.ballot;
         // Each voter keeps to its part of the calls that the platform takes.
-        let gap = Span::of_seconds(self.voters() as f64 / calls_per_s.max(1.0));
-        let since = now - self.cast;
+        let mut gap = Span::of_seconds(self.voters() as f64 / calls_per_s.max(1.0));
+        let (since, mut renew) = (now - self.cast, stands * RENEW);
         self.pending &= since <= call_timeout * 1.5;
         let wanted = self.wanted(self.record.stage_outcomes >= ENOUGH, now);
         let none = wanted.2 == Verdict::None;
+        if since >= stands && none {
+            self.vote.2 = Verdict::None; // it lapsed by itself: to take it back would cost a call
+        }
+        if self.of_many() {
+            // By turns so long, votes would lapse before enough stand. Whom the platform turns away asks
+            // again soon, each at a time of its own; who stands lets the others have the calls.
+            let scatter =
+                lot(self.ballot.me as u64, (self.cast - LONG_AGO).as_nanos()) as f64 / u64::MAX as f64;
+            gap = gap * ((0.5 + scatter) / (VOTERS * VOTERS) as f64);
+            renew = stands * if wanted.2 == Verdict::Hold { 1.0 } else { RENEW_OF_MANY };
+            if none {
+                return;
+            }
+        }
         let same = self.vote == wanted || (none && self.vote.2 == Verdict::None);
-        if self.pending || since < gap || (same && (none || since < stands * RENEW)) {
+        if self.pending || since < gap || (same && (none || since < renew)) {
             return;
         }
         host.vote(wanted.0, wanted.1, wanted.2);
@@ -785,7 +834,8 @@
         self.gate.sums.forget(now - WINDOW);
         if let Some((build, _, standing, ..)) = self.gate.told {
             let drag = self.dragging().then(|| "the whole fleet slowed down".into());
-            let wrong = (self.gate.record.odds >= CONVICT).then(|| "answers reported wrong".into());
+            let bar = if self.gate.of_many() { CONVICT_OF_MANY } else { CONVICT };
+            let wrong = (self.gate.record.odds >= bar).then(|| "answers reported wrong".into());
             let why = self.gate.judge(build, &self.fleet.nodes, now).or(wrong).or(drag);
             if let (true, Some(why)) = (standing.open() && self.gate.record.offered, why) {
                 if now >= self.gate.record.back_until {
@@ -829,6 +879,9 @@
         }
         let (before, was, at) = gate.record.course[0];
         let like = LIKE_LOAD + 2.0 / (self.fleet.rate * WINDOW.seconds()).max(1.0).sqrt();
+        if gate.of_many() && like >= MARGIN {
+            return false; // so little traffic does not tell a slower fleet from a busier one
+        }
         let slow = mix > (before + FLOOR) * MARGIN && pace > was * MARGIN && load < at * like;
         gate.record.slow_looks = if slow { gate.record.slow_looks + 1 } else { 0 };
         gate.record.slow_looks >= if gate.ballot.needed > VOTERS { SLOW_LOOKS * 3 / 4 } else { SLOW_LOOKS }
--- a/tests/stories.rs
+++ b/tests/stories.rs
@@ -501,6 +501,136 @@
     assert_eq!(s.votes(Verdict::Back) > 0, back);
 }
 
+// ---- Votes of many ----
+
+/// Ten earlier nodes with good traffic, six nodes on trial at `cap`, seen by one of 300 marshals of whom `needed` must
+/// vote back; the platform takes 16 calls a second, and a vote stands for 4 s.
+fn one_of_many(me: usize, needed: usize, cap: f64) -> Story {
+    let mut site = site();
+    site.ballot = Ballot {
+        me,
+        marshals: 300,
+        needed,
+        holds: 30,
+        stands: SECOND * 4.0,
+        calls_per_s: 16.0,
+        ..site.ballot
+    };
+    let mut s = fleet_of(site, 10);
+    s.traffic(600, READ, fine);
+    s.stage(NEW, 0, Standing::OnTrial, cap);
+    s.ready(100..106, NEW);
+    s
+}
+
+/// Two of the first three forwards to the build on trial fail, and none after.
+fn fails_twice() -> impl FnMut(u64) -> (Fate, u64) {
+    let mut met = 0;
+    move |node| {
+        met += usize::from(node >= 100);
+        if node >= 100 && (2..4).contains(&met) { (Fate::Error, 5) } else { (Fate::Ok, 60) }
+    }
+}
+
+#[rstest]
+#[case::of_many(75, 2, true)]
+#[case::nothing_failed(75, 0, false)]
+#[case::alone_it_must_be_sure(1, 2, false)]
+fn where_many_votes_are_needed_one_votes_on_what_chance_makes_unlikely(
+    #[case] needed: usize, #[case] failures: usize, #[case] back: bool,
+) {
+    let voted = |me: &usize| {
+        let mut s = one_of_many(*me, needed, 0.03);
+        if failures > 0 {
+            s.traffic(500, READ, fails_twice())
+        } else {
+            s.traffic(500, READ, fine)
+        };
+        s.votes(Verdict::Back) > 0
+    };
+    assert_eq!((0..20).filter(voted).count() > 10, back);
+}
+
+#[rstest]
+#[case(75, true)]
+#[case(1, false)]
+fn where_many_votes_are_needed_one_report_of_a_wrong_answer_is_enough(
+    #[case] needed: usize, #[case] back: bool,
+) {
+    let voted = |me: &usize| {
+        let mut s = one_of_many(*me, needed, 0.03);
+        s.traffic(100, READ, fine);
+        let now = s.now;
+        s.marshal.flagged(now, 101, READ, Span::millis(500));
+        s.pass(SECOND * 4.0);
+        s.votes(Verdict::Back) > 0
+    };
+    assert_eq!((0..20).any(|me| voted(&me)), back);
+}
+
+#[rstest]
+fn votes_of_many_go_in_common_turns_and_who_is_turned_away_asks_again_soon() {
+    // Holds come in the first 3 s; then 3.6 s in every 75 x 1.2 / 16 s are for votes back.
+    let in_turn = |age: f64| (age - 3.0).rem_euclid(75.0 * 1.2 / 16.0) < 3.6;
+    let mut turned_away = Vec::new();
+    for me in 0..20 {
+        let mut s = one_of_many(me, 75, 0.03);
+        let begin = s.now;
+        let mut bad = fails_twice();
+        for _ in 0..120 {
+            let before = s.votes(Verdict::Back);
+            s.traffic(10, READ, &mut bad);
+            if s.votes(Verdict::Back) > before {
+                let age = (s.now - begin).seconds();
+                assert!(in_turn(age) || in_turn(age - 0.1), "marshal {me} voted back at {age} s");
+                turned_away.push((me, age));
+                let now = s.now;
+                let (cap, reply) = (0.03, Some(Fate::Rejected));
+                s.marshal.told_stage(&mut s.book, now, (NEW, 0), Standing::OnTrial, cap, Span::ZERO, reply);
+            }
+        }
+    }
+    let pauses = turned_away.windows(2).filter(|w| w[0].0 == w[1].0).map(|w| w[1].1 - w[0].1);
+    let soon = pauses.clone().filter(|p| *p < 2.6).count();
+    assert!(soon > 20 && pauses.clone().all(|p| p > 0.7), "{soon} of {} pauses", pauses.count());
+}
+
+#[rstest]
+fn a_hold_of_many_lapses_without_a_call_and_stands_until_then() {
+    let holds = |me| {
+        let mut s = one_of_many(me, 75, 0.03);
+        // Convinced early, a holder leaves its hold standing: it keeps the stage while the others vote.
+        s.traffic(350, READ, fails_twice());
+        let early = s.votes(Verdict::Back);
+        s.traffic(300, READ, fine);
+        (s.votes(Verdict::Hold), s.votes(Verdict::None), early)
+    };
+    let holders: Vec<_> = (0..300).map(holds).filter(|(holds, ..)| *holds > 0).collect();
+    assert_eq!(holders.len(), 36);
+    assert!(holders.iter().all(|told| *told == (1, 0, 0)), "{holders:?}");
+}
+
+#[rstest]
+#[case::many(75, false)]
+#[case::few(4, true)]
+fn a_burst_met_by_a_marshal_with_little_traffic_is_no_drag(#[case] needed: usize, #[case] back: bool) {
+    // Five hits a second, then seven and a half that take longer, as the new build comes into its share.
+    let voted = |me: &usize| {
+        let mut s = one_of_many(*me, needed, 0.0);
+        let spell = |s: &mut Story, hits: usize, gap: u64, millis: u64| {
+            for _ in 0..hits {
+                s.traffic(1, READ, |_| (Fate::Ok, millis));
+                s.pass(Span::millis(gap - 10));
+            }
+        };
+        spell(&mut s, 60, 200, 60);
+        s.stage(NEW, 0, Standing::OnTrial, 0.5);
+        spell(&mut s, 50, 133, 110);
+        s.votes(Verdict::Back) > 0
+    };
+    assert_eq!((0..300).any(|me| voted(&me)), back);
+}
+
 #[rstest]
 fn a_light_marshal_uses_few_nodes_and_each_marshal_others() {
     let used = |me| {
