--- a/src/policy.rs
+++ b/src/policy.rs
@@ -66,8 +66,8 @@
 const COME_BACK: f64 = 0.2; // of the target latency: then a bounced hit may still be answered in time
 const SHED: f64 = 0.8; // of the target latency: longest expected wait of the best hits
 const SHED_FROM: f64 = 0.4; // of that, for worthless ones
-/// Keys remembered as answered by the newest build: 57,344 fill a table of 64 Ki places, some 600 KB. Past it,
-/// new keys stay with the earlier build as long as that has nodes: a key forgotten might return.
+/// Keys remembered as answered by the newest build: 57,344 fill a table of 64 Ki places, some 600 KB. Past
+/// it, new keys stay with the earlier build as long as that has nodes: a key forgotten might return.
 pub const MOST_KEYS: usize = (1 << 16) / 8 * 7;
 const SHED_MOST: f64 = 0.95; // the few that go all the same show when the wait is over
 const ASK_AGAIN: Span = Span::millis(500); // first wait after a failed call for the list, then doubled
@@ -277,8 +277,8 @@
         let Ballot { needed, stands, calls_per_s, .. } = self.ballot;
         let (turn, round) = (stands * RENEW_OF_MANY, needed as f64 * HOLDERS / calls_per_s.max(1.0));
         let begin = if standing == Standing::OnTrial { HOLD } else { Span::ZERO };
-        let at = (age.seconds() - begin.seconds()).rem_euclid(round);
-        !self.of_many() || round <= turn.seconds() || at < turn.seconds()
+        let at = (age - begin).seconds().rem_euclid(round);
+        !self.of_many() || round <= turn.seconds() || (age >= begin && at < turn.seconds())
     }
 
     fn wanted(&self, enough: bool, now: Time) -> (u16, u8, Verdict) {
@@ -534,12 +534,15 @@
     }
 
     /// Cheapest first: dearer path groups follow as good outcomes come in, or as the build passes stages.
+    /// Where many vote, each brings its part of the proof: a dear path group that fails should be met while
+    /// the cap is least. May harm: the first dear hits of a build that fails them all.
     fn proven(&self, effect: Effect) -> bool {
         let proof = self.gate.record.good + ENOUGH * self.gate.told.map_or(0.0, |t| f64::from(t.1));
+        let enough = if self.gate.of_many() { ENOUGH / self.gate.ballot.needed as f64 } else { ENOUGH };
         match effect {
             Effect::Repeatable => true,
-            Effect::Tagged { .. } => proof >= ENOUGH,
-            Effect::Mutating => proof >= ENOUGH * 2.0,
+            Effect::Tagged { .. } => proof >= enough,
+            Effect::Mutating => proof >= enough * 2.0,
         }
     }
 
