--- a/src/ledger.rs
+++ b/src/ledger.rs
@@ -8,6 +8,8 @@
     pub n: f64,
     /// Failed or late.
     pub bad: f64,
+    /// Of those, failed.
+    pub failed: f64,
     /// Answers of warm nodes, and the sum of their times against what was expected.
     pub timed: f64,
     pub time: f64,
@@ -17,10 +19,16 @@
     pub fn add(&mut self, other: Count) {
         self.n += other.n;
         self.bad += other.bad;
+        self.failed += other.failed;
         self.timed += other.timed;
         self.time += other.time;
     }
 
+    /// The same with lateness left aside.
+    pub fn failures(self) -> Count {
+        Count { bad: self.failed, ..self }
+    }
+
     pub fn of(counts: &[Count]) -> Count {
         let mut sum = Count::default();
         counts.iter().for_each(|c| sum.add(*c));
--- a/src/policy.rs
+++ b/src/policy.rs
@@ -237,7 +237,9 @@
         let ill = |n: &&Node| n.build != build && n.blame >= BLAME && !n.silent(now);
         let sick = fleet.ready().filter(ill).count();
         let usual_spare = (1 + sick).max(nodes.len().div_ceil(3));
-        let spare = if of_many { sick } else { usual_spare }.min(nodes.len());
+        // One of many meets few nodes of the build: of those the part that looks sick elsewhere.
+        let part = (sick * nodes.len()).div_ceil(earlier.len().max(1));
+        let spare = if of_many { part } else { usual_spare }.min(nodes.len());
         let given_up = if self.ballot.needed > VOTERS { spare } else { 0 };
         let sure = 1.0 - given_up as f64 / nodes.len().max(1) as f64;
         let rows = |counts: Vec<Count>, e: &[f64], known: &[Count]| {
@@ -249,6 +251,12 @@
         worst_first.sort_by(|a, b| Count::of(&b.1).bad.total_cmp(&Count::of(&a.1).bad));
         let spared = rows(by_group(&worst_first[spare..], groups), &self.e, &known);
         let own = Self::exceeds(&met, 1.0, of_many) && Self::exceeds(&spared, sure, of_many);
+        // Lateness that strikes all builds lifts e, and would hide the failures of one: they count apart too.
+        let share = all.failed / all.n.max(1.0);
+        let e = |k: &Count| ((k.failed + (ENOUGH - k.n).max(0.0) * share) / k.n.max(ENOUGH)).max(floor);
+        let left = by_group(&worst_first[spare..], groups);
+        let failed: Vec<_> = std::iter::zip(left, &known).map(|(c, k)| (c.failures(), e(k), k.n)).collect();
+        let own = own || (of_many && Self::exceeds(&failed, sure, true));
         // With few own outcomes, the platform's sums judge if any own one points the same way.
         let sums = |of: &dyn Fn(u16) -> bool| by_group(&self.sums.by_source(from, groups, of), groups);
         let told = || {
@@ -785,7 +793,7 @@
         let pace = latency.seconds() / work;
         let timed = f64::from((late || fate == Fate::Ok) && !young(1.0));
         let time = timed * (pace / self.fleet.paces[usize::from(node.place.kind)]).min(SLOWEST);
-        let count = Count { n: 1.0, bad: f64::from(failed || late), timed, time };
+        let count = Count { n: 1.0, bad: f64::from(failed || late), failed: f64::from(failed), timed, time };
         if timed > 0.0 {
             self.gate.answers.push_back((self.now, pace, build));
         }
--- a/tests/stories.rs
+++ b/tests/stories.rs
@@ -523,12 +523,12 @@
     s
 }
 
-/// Two of the first three forwards to the build on trial fail, and none after.
-fn fails_twice() -> impl FnMut(u64) -> (Fate, u64) {
+/// So many forwards to the build on trial fail from the second on, and none after.
+fn fails(times: usize) -> impl FnMut(u64) -> (Fate, u64) {
     let mut met = 0;
     move |node| {
         met += usize::from(node >= 100);
-        if node >= 100 && (2..4).contains(&met) { (Fate::Error, 5) } else { (Fate::Ok, 60) }
+        if node >= 100 && (2..2 + times).contains(&met) { (Fate::Error, 5) } else { (Fate::Ok, 60) }
     }
 }
 
@@ -542,7 +542,7 @@
     let voted = |me: &usize| {
         let mut s = one_of_many(*me, needed, 0.03);
         if failures > 0 {
-            s.traffic(500, READ, fails_twice())
+            s.traffic(500, READ, fails(2))
         } else {
             s.traffic(500, READ, fine)
         };
@@ -576,7 +576,7 @@
     for me in 0..20 {
         let mut s = one_of_many(me, 75, 0.03);
         let begin = s.now;
-        let mut bad = fails_twice();
+        let mut bad = fails(2);
         for _ in 0..120 {
             let before = s.votes(Verdict::Back);
             s.traffic(10, READ, &mut bad);
@@ -600,7 +600,7 @@
     let holds = |me| {
         let mut s = one_of_many(me, 75, 0.03);
         // Convinced early, a holder leaves its hold standing: it keeps the stage while the others vote.
-        s.traffic(350, READ, fails_twice());
+        s.traffic(350, READ, fails(2));
         let early = s.votes(Verdict::Back);
         s.traffic(300, READ, fine);
         (s.votes(Verdict::Hold), s.votes(Verdict::None), early)
@@ -626,6 +626,35 @@
     assert_eq!(sent.iter().any(|node| *node >= 100), goes);
 }
 
+/// Marshals of twenty that vote back, where an earlier node ends its forwards as `earlier` says, by its number and
+/// its turn, and so many of the first forwards to the build on trial fail.
+fn backs(times: usize, earlier: impl Fn(u64, usize) -> (Fate, u64)) -> usize {
+    let voted = |me: &usize| {
+        let mut s = one_of_many(*me, 75, 0.0);
+        let mut turn = 0;
+        let mut ends = |node| {
+            turn += 1;
+            earlier(node, turn)
+        };
+        s.traffic(1500, READ, &mut ends);
+        s.stage(NEW, 0, Standing::OnTrial, 0.03);
+        let mut bad = fails(times);
+        s.traffic(450, READ, |node| if node < 100 { ends(node) } else { bad(node) });
+        s.votes(Verdict::Back) > 0
+    };
+    (0..20).filter(voted).count()
+}
+
+#[rstest]
+fn lateness_that_strikes_all_builds_does_not_hide_the_failures_of_one_from_many() {
+    assert!(backs(1, |_, turn| (Fate::Ok, if turn % 6 == 0 { 410 } else { 60 })) > 10);
+}
+
+#[rstest]
+fn of_many_each_spares_the_part_that_looks_sick_elsewhere_not_all_it_met() {
+    assert!(backs(2, |node, _| if node < 2 { (Fate::Error, 5) } else { (Fate::Ok, 60) }) > 10);
+}
+
 #[rstest]
 #[case::many(75, false)]
 #[case::few(4, true)]
