--- a/crates/marshal/src/allocator.rs
+++ b/crates/marshal/src/allocator.rs
@@ -25,3 +25,19 @@
     // Returns only where it failed.
     let _ = Command::new(program).args(std::env::args_os().skip(1)).envs(SETTINGS).exec();
 }
+
+#[cfg(test)]
+mod tests {
+    /// Where starting a program again is refused, `run` has to set the same.
+    #[test]
+    fn the_deploy_file_sets_what_the_program_would_start_itself_again_for() {
+        let run =
+            include_str!("../../../deploy/balancer.toml").lines().find(|l| l.starts_with("run")).unwrap();
+        for (name, value) in super::SETTINGS {
+            assert!(
+                run.contains(&format!("{name}={value} ")) || run.contains(&format!("{name}={value};")),
+                "{name}"
+            );
+        }
+    }
+}
--- a/src/policy.rs
+++ b/src/policy.rs
@@ -37,7 +37,7 @@
 const SLOW_LOOKS: u32 = 7; // in a row, to a drag
 const SLOWEST: f64 = 2.0; // times the usual time for like work that one answer counts at most
 const RENEW: f64 = 0.6; // of a vote's life
-const RENEW_OF_MANY: f64 = 0.9; // where more votes must stand than the platform takes calls in a vote's life
+const RENEW_OF_MANY: f64 = 0.9; // where many must vote: each call that renews one is missing for another
 const CONVICT: f64 = 6.9; // log odds at which reports of wrong answers convict: one in a thousand
 const CONVICT_OF_MANY: f64 = 1.0; // where many must vote: one report, till some 35 right answers follow
 const MISTAKEN: f64 = 1.0 / 4.0; // reports by mistake, against those of a build that is wrong at the floor
@@ -249,14 +249,15 @@
         let met = rows(by_group(&nodes, groups), &self.e, &known);
         let mut worst_first = nodes.clone();
         worst_first.sort_by(|a, b| Count::of(&b.1).bad.total_cmp(&Count::of(&a.1).bad));
-        let spared = rows(by_group(&worst_first[spare..], groups), &self.e, &known);
-        let own = Self::exceeds(&met, 1.0, of_many) && Self::exceeds(&spared, sure, of_many);
-        // Lateness that strikes all builds lifts e, and would hide the failures of one: they count apart too.
-        let share = all.failed / all.n.max(1.0);
-        let e = |k: &Count| ((k.failed + (ENOUGH - k.n).max(0.0) * share) / k.n.max(ENOUGH)).max(floor);
         let left = by_group(&worst_first[spare..], groups);
-        let failed: Vec<_> = std::iter::zip(left, &known).map(|(c, k)| (c.failures(), e(k), k.n)).collect();
-        let own = own || (of_many && Self::exceeds(&failed, sure, true));
+        let failed = left.iter().map(|c| c.failures()).collect();
+        let spared = rows(left, &self.e, &known);
+        // Lateness that strikes all builds lifts e, and would hide the failures of one: they count apart too.
+        let usual = all.failures().share();
+        let e = known.iter().map(|k| (k.failed + (ENOUGH - k.n).max(0.0) * usual) / k.n.max(ENOUGH));
+        let failed = rows(failed, &e.map(|e| e.max(floor)).collect::<Vec<_>>(), &known);
+        let own = (Self::exceeds(&met, 1.0, of_many) && Self::exceeds(&spared, sure, of_many))
+            || (of_many && Self::exceeds(&failed, sure, of_many));
         // With few own outcomes, the platform's sums judge if any own one points the same way.
         let sums = |of: &dyn Fn(u16) -> bool| by_group(&self.sums.by_source(from, groups, of), groups);
         let told = || {
@@ -323,7 +324,7 @@
         if since >= stands && none {
             self.vote.2 = Verdict::None; // it lapsed by itself: to take it back would cost a call
         }
-        if self.of_many() {
+        if self.of_many() && self.ballot.control == Control::Clock {
             // By turns so long, votes would lapse before enough stand. Whom the platform turns away asks
             // again soon, each at a time of its own; who stands lets the others have the calls.
             let scatter =
