A queue may add two fifths of what the targets leave past the usual answers

The bound was a part of the target, whatever an idle fleet takes of it (`own` in waits.rs). Now what a queue may add is a part of what the target leaves past the usual time, and the least such slack of the path groups that are a twentieth of the traffic, and take half of their target at most, holds for all.

--- a/src/policy.rs
+++ b/src/policy.rs
@@ -647,7 +647,7 @@
         // Against the usual pace: a heavy hit is not to blame for its own work, nor a node for what slows down all.
         let usual = self.fleet.paces[usize::from(self.fleet.nodes.rows[at].place.kind)];
         let (times, waited) = (wait / hit.work / usual, waited.seconds());
-        let shed = self.desk.waits.shed(&self.desk.groups, (hit.group, hit.value), waited, times);
+        let shed = self.desk.waits.shed((hit.group, hit.value), waited, times);
         if hit.forwards.is_empty() && shed > 0.0 && self.chance.random_bool(shed) {
             return self.give_up(host, slot, Why::TooLate);
         }
--- a/src/waits.rs
+++ b/src/waits.rs
@@ -6,10 +6,11 @@
 
 use crate::terms::PathGroup;
 
-/// Of the target latency: longest expected answer of the best hits. Past it, answers that scatter come late as often as not,
-/// and so do those of clients that were turned away once, whose time runs on.
-const LONGEST: f64 = 0.5;
-/// Of that, past the usual answer time, for worthless ones.
+/// Of what the target latency leaves past the usual answer time: what a queue may add to the best hits' answers. With
+/// more, answers that scatter come late as often as not, and so do those of clients that were turned away once, whose
+/// time runs on.
+const LONGEST: f64 = 0.4;
+/// Of that, for worthless ones.
 const LEAST_WORTH: f64 = 0.4;
 /// Part of the traffic from which on a path group's target binds the others too: so rare a one costs more than it brings.
 const COUNTS: f64 = 1.0 / 20.0;
@@ -18,8 +19,9 @@
 /// Of an answer in a path group's usual time in the long run, and how many the first guess counts for.
 const LEARN: f64 = 0.001;
 const GUESS: f64 = 2.0;
-/// Times its usual answer time that a path group's target must leave it, or it would bind the others for nothing.
-const SLACK: f64 = 1.5;
+/// Of the target latency: a path group that usually takes longer can hardly be served, and would bind the others for
+/// nothing.
+const OVER: f64 = 0.5;
 /// Weight of a look in what forwards took lately, and how many answers in their usual time it begins with.
 const LATELY: f64 = 0.2;
 const BEGIN: f64 = 2.0;
@@ -37,6 +39,7 @@
 /// What is usual: answer times by path group in seconds, and the traffic's parts.
 #[derive(Default)]
 pub struct Waits {
+    targets: Vec<f64>,
     usual: Vec<f64>,
     met: Vec<f64>,
     shares: Vec<f64>,
@@ -48,9 +51,10 @@
 impl Waits {
     /// Until learnt, an answer is expected in a quarter of the target latency, and the path groups come alike.
     pub fn of(groups: &[PathGroup]) -> Self {
-        let usual = groups.iter().map(|g| g.target.seconds() / 4.0).collect();
+        let targets: Vec<f64> = groups.iter().map(|g| g.target.seconds()).collect();
+        let usual = targets.iter().map(|target| target / 4.0).collect();
         let shares = vec![1.0 / groups.len().max(1) as f64; groups.len()];
-        Waits { usual, met: vec![0.0; groups.len()], shares, ..Waits::default() }
+        Waits { targets, usual, met: vec![0.0; groups.len()], shares, ..Waits::default() }
     }
 
     /// Usual answer time of a path group, in seconds.
@@ -87,23 +91,27 @@
         (self.out + BEGIN * self.mean()) / (self.answers + BEGIN)
     }
 
+    /// Usual answer time of a path group as far as its target latency bears it: what a marshal learnt that began in a
+    /// queue counts for no more.
+    fn borne(&self, group: usize) -> f64 {
+        self.usual[group].min(self.targets[group] * OVER)
+    }
+
     /// Mean of the usual answer times over the traffic.
     fn mean(&self) -> f64 {
-        std::iter::zip(&self.usual, &self.shares).map(|(usual, share)| usual * share).sum()
+        self.shares.iter().enumerate().map(|(at, share)| share * self.borne(at)).sum()
     }
 
-    /// Longest expected time of a usual hit's answer at which a path group's best ones still come in time: its own
-    /// work differs from the usual one's by its lead.
-    fn own(&self, group: usize, target: f64) -> f64 {
-        let most = target * LONGEST;
-        most - (self.usual[group] - self.mean()).min(most / 2.0)
+    /// What a queue may add to a path group's answers, in seconds.
+    fn slack(&self, group: usize) -> f64 {
+        (self.targets[group] - self.borne(group)) * LONGEST
     }
 
     /// Part of the hits to be shed of those of a path group and worth (0 to 1) that have waited for so many seconds
     /// already, at a node that takes so many times the usual time. What the node is known for counts from what is usual
     /// in calm: times that rose for all are seen in the answers of late, which are soon forgotten when nothing is sent.
-    pub fn shed(&self, groups: &[PathGroup], (group, value): (usize, f64), waited: f64, times: f64) -> f64 {
-        let longest = (self.longest(groups, group, value) - waited).max(0.0);
+    pub fn shed(&self, (group, value): (usize, f64), waited: f64, times: f64) -> f64 {
+        let longest = (self.longest(group, value) - waited).max(0.0);
         let expected = self.lately().max(self.mean() * times);
         if expected <= longest { 0.0 } else { (1.0 - (longest / expected).powi(STEEP)).min(MOST) }
     }
@@ -111,15 +119,11 @@
     /// Longest expected time of a usual hit's answer, in seconds, up to which one of `group` with this worth
     /// (0 to 1) is forwarded.
     /// May harm: hits with much patience, bounced in a burst that their own targets would have let them sit out.
-    fn longest(&self, groups: &[PathGroup], group: usize, value: f64) -> f64 {
-        let target = |at: usize| groups[at].target.seconds();
-        let binds =
-            |at: &usize| self.shares[*at] >= COUNTS && self.usual[*at] * SLACK <= target(*at) * LONGEST;
-        let all = (0..groups.len()).filter(binds).map(|at| self.own(at, target(at)));
-        let longest = all.fold(self.own(group, target(group)), f64::min);
-        // What no queue makes is no ground for giving up even the least worth.
-        let base = self.mean().min(longest / SLACK);
-        base + (longest - base) * (LEAST_WORTH + (1.0 - LEAST_WORTH) * value)
+    fn longest(&self, group: usize, value: f64) -> f64 {
+        let binds = |at: &usize| self.shares[*at] >= COUNTS && self.usual[*at] <= self.targets[*at] * OVER;
+        let slack = (0..self.targets.len()).filter(binds).map(|at| self.slack(at));
+        let slack = slack.fold(self.slack(group), f64::min);
+        self.mean() + slack * (LEAST_WORTH + (1.0 - LEAST_WORTH) * value)
     }
 }
 
@@ -144,7 +148,7 @@
     }
 
     /// Path groups with these targets; their hits come by turns, one of the second in `rare`, and take 60 ms.
-    fn calm(targets: [u64; 2], rare: usize) -> (Vec<PathGroup>, Waits) {
+    fn calm(targets: [u64; 2], rare: usize) -> Waits {
         let groups: Vec<_> = targets.into_iter().map(group).collect();
         let mut waits = Waits::of(&groups);
         for at in 0..1_000 {
@@ -153,12 +157,12 @@
             waits.answered(of, 0.06);
         }
         (0..20).for_each(|_| waits.look(0.0, LOOK));
-        (groups, waits)
+        waits
     }
 
     /// Part shed at a node that takes so many milliseconds where 60 are usual.
-    fn shed(of: &(Vec<PathGroup>, Waits), group: usize, value: f64, ms: f64) -> f64 {
-        of.1.shed(&of.0, (group, value), 0.0, ms / 60.0)
+    fn shed(of: &Waits, group: usize, value: f64, ms: f64) -> f64 {
+        of.shed((group, value), 0.0, ms / 60.0)
     }
 
     #[rstest]
@@ -176,7 +180,7 @@
     #[rstest]
     fn the_least_worth_goes_first_but_not_for_what_is_usual() {
         let calm = calm([300, 300], 2);
-        let at = |value| [60.0, 120.0, 160.0, 400.0].map(|ms| shed(&calm, 0, value, ms));
+        let at = |value| [60.0, 120.0, 200.0, 400.0].map(|ms| shed(&calm, 0, value, ms));
         let (none, little, full) = (at(0.0), at(0.1), at(1.0));
         assert!(none[0] == 0.0 && none[1] > 0.0 && full[1] == 0.0 && full[2] > 0.0, "{none:?} {full:?}");
         assert!((1..4).all(|k| none[k] >= little[k] && little[k] >= full[k]));
@@ -193,12 +197,12 @@
                 waits.look(open, LOOK);
             }
         };
-        looks(&mut calm.1, 20, rate * 0.06, rate);
+        looks(&mut calm, 20, rate * 0.06, rate);
         assert!(shed(&calm, 0, 1.0, 60.0) == 0.0);
         // Nothing comes back, and what is out adds up.
-        (1..=8).for_each(|n| looks(&mut calm.1, 1, rate * LOOK * f64::from(n), 0.0));
+        (1..=8).for_each(|n| looks(&mut calm, 1, rate * LOOK * f64::from(n), 0.0));
         assert!(shed(&calm, 0, 1.0, 60.0) > 0.5);
-        looks(&mut calm.1, 16, 0.0, rate);
+        looks(&mut calm, 16, 0.0, rate);
         assert!(shed(&calm, 0, 1.0, 60.0) == 0.0);
     }
 
@@ -208,8 +212,8 @@
             targets in proptest::array::uniform2(0u64..100_000), ms in 0.0..1e6f64, value in 0.0..1.0f64,
             waited in 0.0..1e3f64,
         ) {
-            let (groups, waits) = calm(targets, 2);
-            let part = |value| waits.shed(&groups, (0, value), waited, ms / 60.0);
+            let waits = calm(targets, 2);
+            let part = |value| waits.shed((0, value), waited, ms / 60.0);
             proptest::prop_assert!((0.0..=MOST).contains(&part(value)));
             proptest::prop_assert!(part(1.0) <= part(value));
         }
