--- a/crates/budget/src/plan.rs
+++ b/crates/budget/src/plan.rs
@@ -25,6 +25,12 @@
 pub const HIT: usize = KIB + KIB / 4;
 /// A node: its listing, its row in the core, its names.
 pub const NODE: usize = KIB;
+/// Nodes that a list may name at least, whatever the memory, as far as that is free: 1,024, and as many that they replace.
+const NODES: usize = 2 * 1_024;
+/// Bytes by which a list states a node, and how often it stands while it is read: the line, the next one beside it, its
+/// entries, and the room in which a line grows.
+const STATED: usize = 256;
+const READ: usize = 4;
 /// The largest message: a value of 64 KiB, and what stands around it.
 pub const MESSAGE: usize = 68 * KIB;
 
@@ -172,7 +178,7 @@
             };
             let among = if matches!(purpose, Purpose::Work(_)) { groups } else { 1 };
             let reserve = (bytes(share.reserve) / among).max(Self::least(purpose));
-            let cap = bytes(share.cap).max(reserve);
+            let cap = bytes(share.cap).max(reserve).max(Self::full_fleet(purpose).min(rest));
             (purpose, Account::new(fixed + cap, fixed + reserve))
         };
         let accounts: Vec<_> = purposes.map(account).collect();
@@ -198,6 +204,15 @@
         }
     }
 
+    /// What a fleet of many nodes needs; no part of the reserve, as most fleets are smaller.
+    fn full_fleet(purpose: Purpose) -> usize {
+        match purpose {
+            Purpose::Nodes => NODES * NODE,
+            Purpose::Discovery => NODES * STATED * READ,
+            _ => 0,
+        }
+    }
+
     pub fn of(&self, purpose: Purpose) -> Account {
         self.accounts.iter().find(|(p, _)| *p == purpose).map(|(_, a)| *a).unwrap_or_default()
     }
--- a/crates/site/src/lib.rs
+++ b/crates/site/src/lib.rs
@@ -77,7 +77,8 @@
         stretch: told.number_or_none("aim_stretch")?,
         timeout: told.span("deadline_ns")?,
         late_benefit: told.number_or_none("late_share")?,
-        benefit: told.number("worth")?,
+        // Where nothing is said, a path group is worth what one is.
+        benefit: told.find("worth").map_or(Ok(1.0), |_| told.number("worth"))?,
     })
 }
 
@@ -139,7 +140,7 @@
     };
     let listed = Listed {
         me: ballot.me,
-        zone: top.number("zone")? as u8,
+        zone: top.number_or_none("zone")? as u8,
         crossing: prices.number_or_none("cross_zone")?,
         asked: top.word("membership_mode")? == "ask",
         ask_within: rules.span("ask_within_ns")?,
