--- a/crates/marshal/src/discovery.rs
+++ b/crates/marshal/src/discovery.rs
@@ -69,7 +69,7 @@
         };
         // A place of an unknown name is like no other.
         let place = Place {
-            zone: at(&self.zones, &told.zone).map_or(u8::MAX, |at| at as u8),
+            zone: at(&self.zones, &told.zone).and_then(|at| u8::try_from(at).ok()).unwrap_or(u8::MAX),
             kind: at(&self.kinds, &told.kind).unwrap_or(self.kinds.len()) as u16,
             cell: told.cell.unwrap_or(0.0) as u16,
             weight: told.weight.unwrap_or(1.0) as f32,
--- a/src/policy.rs
+++ b/src/policy.rs
@@ -644,10 +644,9 @@
             }
             return;
         };
-        // Against the usual pace: a heavy hit is not to blame for its own work, nor a node for what slows down all.
-        let usual = self.fleet.paces[usize::from(self.fleet.nodes.rows[at].place.kind)];
-        let (times, waited) = (wait / hit.work / usual, waited.seconds());
-        let shed = self.desk.waits.shed((hit.group, hit.value), waited, times);
+        // What a usual hit would wait there: a heavy one is not to blame for its own work.
+        let (expected, waited) = (wait / hit.work * self.desk.work, waited.seconds());
+        let shed = self.desk.waits.shed((hit.group, hit.value), waited, expected);
         if hit.forwards.is_empty() && shed > 0.0 && self.chance.random_bool(shed) {
             return self.give_up(host, slot, Why::TooLate);
         }
@@ -721,6 +720,9 @@
         let Some(forward) = hit.forwards.get_mut(usize::from(hop)) else { return };
         forward.fate = Some(fate);
         let (forward, build) = (*forward, forward.build);
+        if matches!(fate, Fate::Ok | Fate::Error) {
+            self.desk.waits.done();
+        }
         self.weigh(&forward, group, fate, latency, work);
         self.learn(&forward, fate, latency, work);
         if fate == Fate::Ok {
--- a/src/waits.rs
+++ b/src/waits.rs
@@ -9,14 +9,17 @@
 /// Of what the target latency leaves past the usual answer time: what a queue may add to the best hits' answers. With
 /// more, answers that scatter come late as often as not, and so do those of clients that were turned away once, whose
 /// time runs on.
-const LONGEST: f64 = 0.4;
+const LONGEST: f64 = 0.5;
 /// Of that, for worthless ones.
 const LEAST_WORTH: f64 = 0.4;
 /// Part of the traffic from which on a path group's target binds the others too: so rare a one costs more than it brings.
 const COUNTS: f64 = 1.0 / 20.0;
 /// Weight of a hit in the shares of the path groups.
 const SHARE: f64 = 0.01;
-/// Of an answer in a path group's usual time in the long run, and how many the first guess counts for.
+/// A path group's usual answer time is the least that its answers took of late, a mean over so many; it rises by so much
+/// with each, should they have become slower for good. A mean over all would take a marshal that began in a queue, or a day
+/// that is overloaded from its start, for usual. The first guess counts for so many answers.
+const RECENT: f64 = 1.0 / 16.0;
 const LEARN: f64 = 0.001;
 const GUESS: f64 = 2.0;
 /// Of the target latency: a path group that usually takes longer can hardly be served, and would bind the others for
@@ -27,9 +30,9 @@
 const BEGIN: f64 = 2.0;
 /// Forwards out that tell of no queue: one that stands alone may be lost.
 const ALONE: f64 = 1.0;
-/// How steeply more are shed past the longest wait: half of them at 1.2 times it, nearly all at twice. Were all shed at
+/// How steeply more are shed past the longest wait: half of them at 1.1 times it, nearly all at 1.5 times. Were all shed at
 /// once, a marshal would go without and with a queue by turns; were it flatter, the wait would stand far past its bound.
-const STEEP: i32 = 4;
+const STEEP: i32 = 8;
 /// Most that is shed: the few that go all the same show when the wait is over.
 const MOST: f64 = 0.95;
 /// Of all hits, those that are given up by the wait alone, whatever they are worth: each path group so keeps half
@@ -41,9 +44,10 @@
 pub struct Waits {
     targets: Vec<f64>,
     usual: Vec<f64>,
+    recent: Vec<f64>,
     met: Vec<f64>,
     shares: Vec<f64>,
-    /// Seconds that forwards were out, and answers that came, both lately.
+    /// Seconds that forwards were out, and how many nodes were done with, both lately.
     out: f64,
     answers: f64,
 }
@@ -52,9 +56,16 @@
     /// Until learnt, an answer is expected in a quarter of the target latency, and the path groups come alike.
     pub fn of(groups: &[PathGroup]) -> Self {
         let targets: Vec<f64> = groups.iter().map(|g| g.target.seconds()).collect();
-        let usual = targets.iter().map(|target| target / 4.0).collect();
+        let usual: Vec<f64> = targets.iter().map(|target| target / 4.0).collect();
         let shares = vec![1.0 / groups.len().max(1) as f64; groups.len()];
-        Waits { targets, usual, met: vec![0.0; groups.len()], shares, ..Waits::default() }
+        Waits {
+            targets,
+            recent: usual.clone(),
+            usual,
+            met: vec![0.0; groups.len()],
+            shares,
+            ..Waits::default()
+        }
     }
 
     /// Usual answer time of a path group, in seconds.
@@ -71,10 +82,16 @@
 
     /// A hit was answered in so many seconds: a plain mean at first, as light traffic would not learn it in hours.
     pub fn answered(&mut self, group: usize, seconds: f64) {
-        self.answers += 1.0;
         self.met[group] += 1.0;
-        let weight = (1.0 / (self.met[group] + GUESS)).max(LEARN);
-        self.usual[group] += weight * (seconds - self.usual[group]);
+        let weight = (1.0 / (self.met[group] + GUESS)).max(RECENT);
+        self.recent[group] += weight * (seconds - self.recent[group]);
+        let usual = if weight > RECENT { self.recent[group] } else { self.usual[group] * (1.0 + LEARN) };
+        self.usual[group] = usual.min(self.recent[group]);
+    }
+
+    /// A node was done with a forward, whether it served it or failed.
+    pub fn done(&mut self) {
+        self.answers += 1.0;
     }
 
     /// So many forwards stood in queues for a span of so many seconds.
@@ -108,11 +125,10 @@
     }
 
     /// Part of the hits to be shed of those of a path group and worth (0 to 1) that have waited for so many seconds
-    /// already, at a node that takes so many times the usual time. What the node is known for counts from what is usual
-    /// in calm: times that rose for all are seen in the answers of late, which are soon forgotten when nothing is sent.
-    pub fn shed(&self, (group, value): (usize, f64), waited: f64, times: f64) -> f64 {
+    /// already, where a usual hit is expected to be answered in `there` by what is known of the node.
+    pub fn shed(&self, (group, value): (usize, f64), waited: f64, there: f64) -> f64 {
         let longest = (self.longest(group, value) - waited).max(0.0);
-        let expected = self.lately().max(self.mean() * times);
+        let expected = self.lately().max(there);
         if expected <= longest { 0.0 } else { (1.0 - (longest / expected).powi(STEEP)).min(MOST) }
     }
 
@@ -155,14 +171,15 @@
             let of = usize::from(at % rare == 0);
             waits.taken(of);
             waits.answered(of, 0.06);
+            waits.done();
         }
         (0..20).for_each(|_| waits.look(0.0, LOOK));
         waits
     }
 
-    /// Part shed at a node that takes so many milliseconds where 60 are usual.
+    /// Part shed at a node where a usual hit is expected to take so many milliseconds; in calm 60 do.
     fn shed(of: &Waits, group: usize, value: f64, ms: f64) -> f64 {
-        of.shed((group, value), 0.0, ms / 60.0)
+        of.shed((group, value), 0.0, ms / 1e3)
     }
 
     #[rstest]
@@ -193,7 +210,10 @@
         let mut calm = calm([1_200, 1_200], 2);
         let looks = |waits: &mut Waits, n: usize, open: f64, answers: f64| {
             for _ in 0..n {
-                (0..(answers * LOOK) as usize).for_each(|_| waits.answered(0, 0.06));
+                for _ in 0..(answers * LOOK) as usize {
+                    waits.answered(0, 0.06);
+                    waits.done();
+                }
                 waits.look(open, LOOK);
             }
         };
@@ -213,7 +233,7 @@
             waited in 0.0..1e3f64,
         ) {
             let waits = calm(targets, 2);
-            let part = |value| waits.shed((0, value), waited, ms / 60.0);
+            let part = |value| waits.shed((0, value), waited, ms / 1e3);
             proptest::prop_assert!((0.0..=MOST).contains(&part(value)));
             proptest::prop_assert!(part(1.0) <= part(value));
         }
