Stories of full fleets stand on the laboratory's world

They made stand-ins and settings of their own, the same lines as in crates/lab/src/site.rs and sockets.rs; the eight stories are as they were.

--- a/crates/marshal/tests/sizes.rs
+++ b/crates/marshal/tests/sizes.rs
@@ -4,72 +4,64 @@
 use serde_json::{Value, json};
 use std::io::{BufRead, BufReader, Read, Write};
 use std::net::TcpStream;
+use std::ops::{Deref, Range};
 use std::path::Path;
 use std::time::Duration;
-use stonescale_lab::Stage;
-use stonescale_lab::checker::{Books, Bounds, Checker};
-use stonescale_lab::discovery::{Discovery, Entry};
+use stonescale_lab::World;
+use stonescale_lab::discovery::Entry;
 use stonescale_lab::node::{Manner, Node};
-use stonescale_lab::platform::{News, Platform};
-use stonescale_lab::program::Program;
+use stonescale_lab::site::Limits;
 use stonescale_lab::stage::until;
 use stonescale_lab::wire;
+use stonescale_lab::world::FIRST_BUILD;
 
 const MANY: usize = 1_024;
 const ZONES: [&str; 4] = ["a", "b", "c", "d"];
 const LONG: Duration = Duration::from_secs(20);
-const BUILD: u16 = 3;
 
 /// One listener stands for all nodes of a list: that has as many ids for it as it likes. Another is for those that come
 /// in their place.
-struct Fleet {
-    program: Program,
-    discovery: Discovery,
-    nodes: [Node; 2],
-    /// Kept for as long as the story runs.
-    _platform: Platform,
-    _stage: Stage,
+struct Fleet(World);
+
+impl Deref for Fleet {
+    type Target = World;
+    fn deref(&self) -> &World {
+        &self.0
+    }
 }
 
-fn entries(node: &Node, ids: std::ops::Range<usize>, state: &str) -> Vec<Entry> {
+fn entries(node: &Node, ids: Range<usize>, state: &str) -> Vec<Entry> {
     let entry = |id: usize| Entry {
         zone: ZONES[id % ZONES.len()].into(),
         state: state.into(),
-        ..Entry::up(&format!("s-{id:08x}"), node.addr, BUILD)
+        ..Entry::up(&format!("s-{id:08x}"), node.addr, FIRST_BUILD)
     };
     ids.map(entry).collect()
 }
 
+/// A marshal that is told of so many nodes and marshals.
 fn fleet(nodes: usize, marshals: usize, memory_mb: usize, change: impl Fn(&mut Value)) -> Fleet {
-    let stage = Stage::default();
-    let books = || Books::new(Checker::new(Bounds::default(), 0.1));
-    let node = || Node::start(&stage, "s-0", 0, Manner { cores: 64, ..Manner::default() }, books());
-    let here = [node(), node()];
-    let discovery = Discovery::start(&stage, books());
-    let platform = Platform::start(&stage, News::live(BUILD), books());
-    discovery.list(entries(&here[0], 0..nodes, "up"));
-    let class = |name, effect| {
-        json!({"name": name, "aim_ns": 900_000_000u64, "deadline_ns": 2_000_000_000u64, "effect": effect,
-            "dedup_scope": "zone", "memory_span_ns": 1_000_000_000u64, "worth": 1.0})
+    let binary = Path::new(env!("CARGO_BIN_EXE_stonescale"));
+    let manner = Manner { cores: 64, ..Manner::default() };
+    let change = |config: &mut Value| {
+        let settings = &mut config["settings"];
+        settings["azs"] = json!(ZONES);
+        (settings["me"], settings["siblings"]) = (json!(marshals - 1), json!(marshals));
+        settings["specifics"]["noes_needed"] = json!(marshals / 4);
+        settings["specifics"]["votes_to_hold"] = json!(marshals / 10);
+        // As many ids as wanted, for the listener of the first node.
+        let servers = config["known"]["servers"].as_array_mut().unwrap();
+        let first = servers.swap_remove(0);
+        servers.clear();
+        servers.extend((0..nodes).map(|id| {
+            let mut server = first.clone();
+            server["id"] = json!(format!("s-{id:08x}"));
+            server["zone"] = json!(ZONES[id % ZONES.len()]);
+            server
+        }));
+        change(config);
     };
-    let settings = json!({"azs": ZONES, "flavors": ["m"], "me": marshals - 1, "siblings": marshals, "zone": 2,
-        "tick_ns": 1_000_000u64, "classes": [class("read", "retryable"), class("book", "fragile")],
-        "limits": {"attempts_cap": 5, "cancelling": true, "second_copies": true, "retry_after": true,
-            "max_retry_after_ns": 250_000_000u64, "connect_timeout_ns": 250_000_000u64,
-            "keepalive_ns": 15_000_000_000u64, "multiplex": 100},
-        "membership_mode": "ask",
-        "rules": {"ask_within_ns": 10_000_000_000u64, "cold_from": 0.3, "warm_up_ns": 4_000_000_000u64,
-            "fall_multiple": 2.0},
-        "specifics": {"allowance": 1.0, "call_timeout_ns": 800_000_000u64, "calls_per_s": 20.0, "counts": "all",
-            "gate_mode": "automatic", "most_shares": [0.1, 1.0], "noes_needed": marshals / 4,
-            "votes_to_hold": marshals / 10, "vote_stands_ns": 4_000_000_000u64}});
-    let mut config = json!({"name": format!("n{}", marshals - 1), "listen": "127.0.0.1:0", "seed": "7",
-        "discovery": discovery.addr, "limits": {"cores": 0.2, "memory_mb": memory_mb, "sockets": 512},
-        "platform": {"address": platform.addr, "news": News::live(BUILD).json(0)}, "known": discovery.all(),
-        "settings": settings});
-    change(&mut config);
-    let program = Program::start(Path::new(env!("CARGO_BIN_EXE_stonescale")), &config, &[]).unwrap();
-    Fleet { program, discovery, nodes: here, _platform: platform, _stage: stage }
+    Fleet(World::start_with(binary, 2, Limits { memory_mb, sockets: 512 }, &manner, &[], change).unwrap())
 }
 
 impl Fleet {
@@ -84,8 +76,8 @@
     fn served(&self, hits: usize, class: &str) -> usize {
         let mut stream = BufReader::new(TcpStream::connect(self.program.addr).unwrap());
         stream.get_ref().set_read_timeout(Some(LONG)).unwrap();
-        let list = format!("c={class},d=1900");
-        let one = |at: usize| {
+        let list = format!("c={class},t=acme,d=1400");
+        let mut one = |at: usize| {
             let id = format!("{at:016x}");
             let command = match class {
                 "read" => wire::command(&[b"SVC.QUERY", b"7f3a", id.as_bytes(), list.as_bytes()]),
@@ -100,12 +92,7 @@
             stream.read_exact(&mut vec![0; length + 2]).unwrap();
             true
         };
-        (0..hits)
-            .filter({
-                let mut one = one;
-                move |at| one(*at)
-            })
-            .count()
+        (0..hits).filter(|at| one(*at)).count()
     }
 }
 
@@ -148,7 +135,7 @@
 #[case::nothing(json!(0.0))]
 #[case::a_little(json!(0.001))]
 fn a_path_group_of_no_worth_is_served_where_there_is_room(#[case] worth: Value) {
-    let fleet = fleet(16, 4, 56, |config| config["settings"]["classes"][1]["worth"] = worth.clone());
+    let fleet = fleet(16, 4, 56, |config| config["settings"]["classes"][2]["worth"] = worth.clone());
     assert_eq!(fleet.served(50, "book"), 50);
 }
 
