--- a/src/waits.rs
+++ b/src/waits.rs
@@ -148,6 +148,7 @@
     use super::*;
     use crate::terms::Effect;
     use crate::time::Span;
+    use proptest::prelude::*;
     use rstest::rstest;
 
     const LOOK: f64 = 0.25;
@@ -226,16 +227,18 @@
         assert!(shed(&calm, 0, 1.0, 60.0) == 0.0);
     }
 
-    proptest::proptest! {
+    proptest! {
+        #![proptest_config(ProptestConfig { failure_persistence: None, ..ProptestConfig::default() })]
+
         #[test]
         fn a_part_is_a_part_and_less_for_more_worth(
-            targets in proptest::array::uniform2(0u64..100_000), ms in 0.0..1e6f64, value in 0.0..1.0f64,
+            targets in prop::array::uniform2(0u64..100_000), ms in 0.0..1e6f64, value in 0.0..1.0f64,
             waited in 0.0..1e3f64,
         ) {
             let waits = calm(targets, 2);
             let part = |value| waits.shed((0, value), waited, ms / 1e3);
-            proptest::prop_assert!((0.0..=MOST).contains(&part(value)));
-            proptest::prop_assert!(part(1.0) <= part(value));
+            prop_assert!((0.0..=MOST).contains(&part(value)));
+            prop_assert!(part(1.0) <= part(value));
         }
     }
 }
--- a/tests/stories.rs
+++ b/tests/stories.rs
@@ -733,7 +733,7 @@
         }
     }
     // Reads are worth next to nothing here.
-    assert!(bounced < 500 && used.iter().all(|n| *n > 100), "{bounced} bounced, {used:?}");
+    assert!(bounced < 500 && used.iter().all(|n| *n > 200), "{bounced} bounced, {used:?}");
 }
 
 #[rstest]
