An answer gone astray leaves the queue once a later one overtakes it

With a third of all answers lost 403 of 1,500 hits were bounced on idle nodes: a lost forward stood in the queue till a later answer overtook it (`queues`), but never counted as one that left it (`done` in `completed`), so the time for each answer read half as long again. Told apart: by the wait of late alone 238, by paces alone 107, with all hits judged alike 79. Now `learn`, which knows what is astray, counts it: 107, and the story's bounds are as they were (under 300, over 200 a node).

--- a/src/policy.rs
+++ b/src/policy.rs
@@ -720,9 +720,6 @@
         let Some(forward) = hit.forwards.get_mut(usize::from(hop)) else { return };
         forward.fate = Some(fate);
         let (forward, build) = (*forward, forward.build);
-        if matches!(fate, Fate::Ok | Fate::Error) {
-            self.desk.waits.done();
-        }
         self.weigh(&forward, group, fate, latency, work);
         self.learn(&forward, fate, latency, work);
         if fate == Fate::Ok {
@@ -752,6 +749,9 @@
         // Where later forwards were answered, this answer went astray: that says nothing of the node's pace.
         let lost = matches!(fate, Fate::Cancelled | Fate::TimedOut) && pace > node.pace;
         let astray = lost && node.answered > forward.sent;
+        if astray || matches!(fate, Fate::Ok | Fate::Error) {
+            self.desk.waits.done();
+        }
         // By work, so that light hits, whose ratios scatter most, count least.
         let weight = LEARN * (work / self.desk.work).min(2.0);
         // A loss tells little of the pace: the answer may have gone astray.
--- a/tests/stories.rs
+++ b/tests/stories.rs
@@ -732,8 +732,7 @@
             s.end(hit, hop, Fate::Ok, 60);
         }
     }
-    // Reads are worth next to nothing here.
-    assert!(bounced < 500 && used.iter().all(|n| *n > 200), "{bounced} bounced, {used:?}");
+    assert!(bounced < 300 && used.iter().all(|n| *n > 200), "{bounced} bounced, {used:?}");
 }
 
 #[rstest]
