Settings without a list of zones start; a path group without a target binds nobody; usual time has its story

Tried by hand with the built program (check): without azs `settings.azs is missing`; a target of 0 would have bound all others to the mean until its first answer (0 <= 0 in `longest`). The least mean of late as usual had no story of its own: it has one, seen to fail with the plain mean.

--- a/crates/marshal/tests/sizes.rs
+++ b/crates/marshal/tests/sizes.rs
@@ -117,9 +117,11 @@
 }
 
 #[rstest]
-fn a_node_of_no_known_zone_and_a_zone_without_nodes_are_no_trouble() {
+#[case::none_named(json!([]))]
+#[case::nothing_said(Value::Null)]
+fn a_node_of_no_known_zone_and_a_zone_without_nodes_are_no_trouble(#[case] zones: Value) {
     let fleet = fleet(8, 4, 56, |config| {
-        config["settings"]["azs"] = json!([]);
+        config["settings"]["azs"] = zones.clone();
         config["settings"]["zone"] = Value::Null;
     });
     assert_eq!(fleet.served(20, "read"), 20);
--- a/crates/site/src/lib.rs
+++ b/crates/site/src/lib.rs
@@ -190,7 +190,9 @@
         }
     }
     let retry_in = retry_in(&Told(top.need("limits")?, "limits."))?;
-    Ok(Names { groups, retry_in, tenants, zones: words("azs")?, kinds: words("flavors")? })
+    // Where there are no zones, all nodes are of one.
+    let zones = top.find("azs").map_or(Ok(Vec::new()), |_| words("azs"))?;
+    Ok(Names { groups, retry_in, tenants, zones, kinds: words("flavors")? })
 }
 
 /// How connections to nodes are made: how long one may take to come up, how long it may stand idle, and how
--- a/src/waits.rs
+++ b/src/waits.rs
@@ -136,7 +136,7 @@
     /// (0 to 1) is forwarded.
     /// May harm: hits with much patience, bounced in a burst that their own targets would have let them sit out.
     fn longest(&self, group: usize, value: f64) -> f64 {
-        let binds = |at: &usize| self.shares[*at] >= COUNTS && self.usual[*at] <= self.targets[*at] * OVER;
+        let binds = |at: &usize| self.shares[*at] >= COUNTS && self.usual[*at] < self.targets[*at] * OVER;
         let slack = (0..self.targets.len()).filter(binds).map(|at| self.slack(at));
         let slack = slack.fold(self.slack(group), f64::min);
         self.mean() + slack * (LEAST_WORTH + (1.0 - LEAST_WORTH) * value)
@@ -195,6 +195,19 @@
         assert_eq!(shed(&calm, 0, 1.0, 600.0) > 0.9, binds);
     }
 
+    #[rstest]
+    fn who_has_no_target_latency_at_all_leaves_the_others_theirs() {
+        let waits = Waits::of(&[group(1_200), group(0)]);
+        assert!(shed(&waits, 0, 1.0, 400.0) == 0.0);
+    }
+
+    #[rstest]
+    fn a_day_that_begins_in_a_queue_does_not_pass_for_usual() {
+        let mut waits = Waits::of(&[group(1_200)]);
+        (0..200).for_each(|n| waits.answered(0, 0.06 + 0.0042 * f64::from(n)));
+        assert!(shed(&waits, 0, 1.0, 900.0) > 0.5, "the first answers took some 100 ms");
+    }
+
     #[rstest]
     fn the_least_worth_goes_first_but_not_for_what_is_usual() {
         let calm = calm([300, 300], 2);
