--- a/tests/fleet.rs
+++ b/tests/fleet.rs
@@ -74,16 +74,16 @@
     /// A node is done with a forward of this marshal, unless its process was lost meanwhile.
     Done(u64, u32, usize, u32, u8),
     Zone(bool),
-    Told(bool),
+    Told,
 }
 
 struct Hit {
     kind: usize,
     asked: u64,
     tries: u8,
-    hops: u8,
     over: bool,
-    called_off: Vec<bool>,
+    /// When each forward was sent, and whether its end was told.
+    forwards: Vec<(u64, bool)>,
 }
 
 #[derive(Default)]
@@ -103,7 +103,6 @@
     hits: Vec<BTreeMap<u32, Hit>>,
     nodes: Vec<Node>,
     events: BinaryHeap<Reverse<(u64, u64, Event)>>,
-    sends: BTreeMap<(usize, u32, u8), u64>,
     order: u64,
     now: u64,
     dice: u64,
@@ -122,7 +121,6 @@
             hits: (0..marshals).map(|_| BTreeMap::new()).collect(),
             nodes: (0..nodes).map(|_| Node::default()).collect(),
             events: BinaryHeap::new(),
-            sends: BTreeMap::new(),
             order: 0,
             now: BEGIN,
             dice: 7,
@@ -144,7 +142,7 @@
         }
         for (at, back) in [(LOST, false), (BACK, true)] {
             fleet.at(BEGIN + at, Event::Zone(back));
-            fleet.at(BEGIN + at + TOLD_LATER, Event::Told(back));
+            fleet.at(BEGIN + at + TOLD_LATER, Event::Told);
         }
         while let Some(Reverse((now, _, event))) = fleet.events.pop() {
             if now > BEGIN + END + 10 * SECOND {
@@ -235,8 +233,8 @@
                 }
                 let id = self.order as u32;
                 self.order += 1;
-                let called_off = Vec::new();
-                self.hits[me].insert(id, Hit { kind, asked, tries, hops: 0, over: false, called_off });
+                let hit = Hit { kind, asked, tries, over: false, forwards: Vec::new() };
+                self.hits[me].insert(id, hit);
                 let grace = Span::millis(self.kinds[kind].timeout_ms);
                 self.marshals[me].taken(&mut self.doors[me], now, id, (kind, 0), 0, grace, None);
                 self.acts(me);
@@ -259,7 +257,7 @@
                     self.nodes[at] = Node { process, lost: !back, started, ..Node::default() };
                 }
             }
-            Event::Told(_) => {
+            Event::Told => {
                 let zone: Vec<usize> =
                     (0..self.nodes.len()).filter(|at| (*at as u64).is_multiple_of(ZONES)).collect();
                 (0..self.marshals.len()).for_each(|me| self.list(me, zone.clone()));
@@ -272,7 +270,7 @@
         while !self.nodes[at].lost && self.nodes[at].busy < CORES {
             let Some((me, id, hop)) = self.nodes[at].queue.pop_front() else { return };
             let Some(hit) = self.hits[me].get(&id) else { continue };
-            if hit.called_off[usize::from(hop)] {
+            if hit.forwards[usize::from(hop)].1 {
                 continue;
             }
             let work = self.kinds[hit.kind].work_ms * MS as f64 * (0.5 + self.chance());
@@ -286,25 +284,20 @@
 
     fn ended(&mut self, me: usize, id: u32, hop: u8, fate: Fate) {
         let Some(hit) = self.hits[me].get_mut(&id) else { return };
-        if std::mem::replace(&mut hit.called_off[usize::from(hop)], true) {
+        let (sent, told) = &mut hit.forwards[usize::from(hop)];
+        if std::mem::replace(told, true) {
             return;
         }
-        let sent = hit.asked;
+        let latency = Span::nanos(self.now - *sent);
         if fate == Fate::Ok && !std::mem::replace(&mut hit.over, true) {
-            let target = self.kinds[hit.kind].target_ms * MS;
-            let within = f64::from(self.now - sent <= target);
-            *self.served[hit.kind].entry((sent - BEGIN) / SECOND).or_default() += within;
+            let within = f64::from(self.now - hit.asked <= self.kinds[hit.kind].target_ms * MS);
+            *self.served[hit.kind].entry((hit.asked - BEGIN) / SECOND).or_default() += within;
         }
         let (last, now) = (hit.over, Time::at(self.now));
-        let latency = Span::nanos(self.now - self.sent(me, id, hop));
         self.marshals[me].completed(&mut self.doors[me], now, (id, hop), fate, last, latency);
         self.acts(me);
     }
 
-    fn sent(&self, me: usize, id: u32, hop: u8) -> u64 {
-        self.sends.get(&(me, id, hop)).copied().unwrap_or(self.now)
-    }
-
     /// Carries out what a marshal asked for.
     fn acts(&mut self, me: usize) {
         while !self.doors[me].0.is_empty() {
@@ -313,10 +306,8 @@
                     Act::Wake(wait, token) => self.at(self.now + wait.as_nanos(), Event::Due(me, token)),
                     Act::Forward(id, node) => {
                         let Some(hit) = self.hits[me].get_mut(&id) else { continue };
-                        let hop = hit.hops;
-                        hit.hops += 1;
-                        hit.called_off.push(false);
-                        self.sends.insert((me, id, hop), self.now);
+                        let hop = hit.forwards.len() as u8;
+                        hit.forwards.push((self.now, false));
                         self.nodes[node as usize].queue.push_back((me, id, hop));
                         self.work(node as usize);
                     }
