--- a/crates/marshal/src/discovery.rs
+++ b/crates/marshal/src/discovery.rs
@@ -269,3 +269,22 @@
         Ok(())
     }
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn a_zone_past_those_that_are_told_apart_is_like_one_of_no_known_name() {
+        let zones = (0..300).map(|n| format!("z{n}")).collect();
+        let places = Places { zones, kinds: vec!["m".into()] };
+        let zone = |name: &str| {
+            let line = format!(
+                r#"{{"version":1,"full":true,"servers":[{{"id":"s","addr":"127.0.0.1:1","zone":"{name}","kind":"m","state":"up","image_id":1}}]}}"#
+            );
+            let (_, _, entries) = places.list(serde_json::from_str(&line).unwrap()).unwrap();
+            entries[0].2.zone
+        };
+        assert_eq!(["z0", "z254", "z256", "z299", "none"].map(zone), [0, 254, u8::MAX, u8::MAX, u8::MAX]);
+    }
+}
