--- a/src/waits.rs
+++ b/src/waits.rs
@@ -47,7 +47,7 @@
     recent: Vec<f64>,
     met: Vec<f64>,
     shares: Vec<f64>,
-    /// Seconds that forwards were out, and how many nodes were done with, both lately.
+    /// Seconds that forwards were out, and how many left their queues, both lately.
     out: f64,
     answers: f64,
 }
@@ -89,7 +89,7 @@
         self.usual[group] = usual.min(self.recent[group]);
     }
 
-    /// A node was done with a forward, whether it served it or failed.
+    /// A forward left its node's queue: served, failed, or overtaken by a later answer, so that its own is lost.
     pub fn done(&mut self) {
         self.answers += 1.0;
     }
@@ -100,7 +100,7 @@
         self.answers *= 1.0 - LATELY;
     }
 
-    /// What an answer takes lately, in seconds: the time that forwards are out for each answer that comes. What has
+    /// What an answer takes lately, in seconds: the time that forwards are out for each that leaves. What has
     /// not been answered counts from the start, where the times of answers would tell of a queue only once it is
     /// behind them; and a marshal with a few hits a second knows it as soon as one with many.
     /// May harm: forwards to nodes that are dead and not known for silent yet count as a queue.
