--- a/review/common.rs
+++ b/review/common.rs
@@ -155,7 +155,9 @@
     cannot_run(&format!("{addr}: no listener"))
 }
 
-fn accept_loop(listener: TcpListener, running: Arc<AtomicBool>, serve: impl Fn(TcpStream) + Send + Sync + 'static) {
+fn accept_loop(
+    listener: TcpListener, running: Arc<AtomicBool>, serve: impl Fn(TcpStream) + Send + Sync + 'static,
+) {
     let serve = Arc::new(serve);
     listener.set_nonblocking(true).unwrap();
     thread::spawn(move || {
@@ -403,7 +405,8 @@
 
 /// A node behind a link of `latency` one way: it begins each command at once and answers in order.
 pub fn start_node(
-    record: &Record, id: &str, latency: Duration, behave: impl Fn(&str, &[String]) -> Plan + Send + Sync + 'static,
+    record: &Record, id: &str, latency: Duration,
+    behave: impl Fn(&str, &[String]) -> Plan + Send + Sync + 'static,
 ) -> Entry {
     let addr = free_addr();
     let (record, name, behave): (_, _, Arc<Behavior>) = (record.clone(), id.to_owned(), Arc::new(behave));
@@ -448,7 +451,8 @@
                     if writer.write_all(&answer).is_err() {
                         return;
                     }
-                    write_record.line(format!("node {write_name}  sent a second copy of the answer to {label}"));
+                    write_record
+                        .line(format!("node {write_name}  sent a second copy of the answer to {label}"));
                 }
             }
         }
@@ -462,7 +466,11 @@
         };
         let arrived = Instant::now() + latency;
         let plan = behave(name, &words);
-        let label = format!("{} {}", words.get(2).cloned().unwrap_or_default(), words.get(3).cloned().unwrap_or_default());
+        let label = format!(
+            "{} {}",
+            words.get(2).cloned().unwrap_or_default(),
+            words.get(3).cloned().unwrap_or_default()
+        );
         record.line(format!("node {name}  received {} {label}", words[0]));
         let pending = Pending {
             arrived,
@@ -526,15 +534,19 @@
 fn run_command(root: &str) -> String {
     let path = format!("{root}/deploy/balancer.toml");
     let text = std::fs::read_to_string(&path).unwrap_or_else(|e| cannot_run(&format!("{path}: {e}")));
-    let line = text.lines().find(|l| l.starts_with("run = \"")).unwrap_or_else(|| cannot_run("no run command"));
+    let line =
+        text.lines().find(|l| l.starts_with("run = \"")).unwrap_or_else(|| cannot_run("no run command"));
     line["run = \"".len()..].split('"').next().unwrap_or_default().to_owned()
 }
 
 impl Marshal {
     /// Starts a marshal by the deploy file, and waits until it answers PING.
-    pub fn start(record: &Record, site: &Site, me: usize, siblings: usize, discovery: &Discovery, platform: SocketAddr) -> Self {
+    pub fn start(
+        record: &Record, site: &Site, me: usize, siblings: usize, discovery: &Discovery, platform: SocketAddr,
+    ) -> Self {
         let root = std::env::var("ROOT").unwrap_or_else(|_| cannot_run("ROOT is not set"));
-        let folder = PathBuf::from(std::env::var("WORK").unwrap_or_else(|_| cannot_run("WORK is not set"))).join(format!("n{me}"));
+        let folder = PathBuf::from(std::env::var("WORK").unwrap_or_else(|_| cannot_run("WORK is not set")))
+            .join(format!("n{me}"));
         std::fs::create_dir_all(&folder).unwrap_or_else(|e| cannot_run(&e.to_string()));
         let addr = free_addr();
         let config = format!(
@@ -565,7 +577,9 @@
         let marshal = Marshal { addr, child, folder };
         for _ in 0..500 {
             if let Ok(mut conn) = Conn::open(addr) {
-                if conn.send(&command(&["PING"])).is_ok() && conn.answer(ms(500)).is_some_and(|m| m.text() == "+PONG") {
+                if conn.send(&command(&["PING"])).is_ok()
+                    && conn.answer(ms(500)).is_some_and(|m| m.text() == "+PONG")
+                {
                     record.line(format!("marshal n{me} ready at {addr}"));
                     return marshal;
                 }
