--- a/crates/lab/src/checker.rs
+++ b/crates/lab/src/checker.rs
@@ -21,6 +21,8 @@
     pub drain_grace: Span,
     /// Time after a lower cap is reported during which the marshal may still use the higher one.
     pub cap_grace: Span,
+    /// Time after a client closed its connection during which forwards of its hits may still arrive.
+    pub departure_grace: Span,
     /// Added to each time limit, for the delay between the marshal and the sockets at which the checker observes.
     pub socket_slack: Span,
     /// Length of the sliding window over which forwards to a build on trial are counted. Hits received before a cap
@@ -107,6 +109,7 @@
         Bounds {
             drain_grace,
             cap_grace,
+            departure_grace: Span::millis(100),
             socket_slack: Span::millis(50),
             cap_window: Span::millis(1_000),
             forward_allowance: 1.0 + 2.0,
@@ -164,8 +167,8 @@
     sent_at: Time,
     /// Outcome and time of the latest answer.
     answer: Option<(Outcome, Time)>,
-    /// The client closed its connection or stopped waiting.
-    abandoned: bool,
+    /// When the client closed its connection or stopped waiting.
+    abandoned_at: Option<Time>,
     /// Forwards that a node received whole, and those of them that it rejected without executing.
     forwards: u32,
     rejected: u32,
@@ -279,7 +282,7 @@
             request,
             sent_at: now,
             answer: None,
-            abandoned: false,
+            abandoned_at: None,
             forwards: 0,
             rejected: 0,
             executions: 0,
@@ -301,7 +304,7 @@
     /// Drops hits older than `HIT_RETENTION`; while there are very many, also younger ones that have ended.
     fn prune_hits(&mut self, now: Time) {
         while let Some((at, id)) = self.sent_order.front() {
-            let done = self.hits.get(id).is_none_or(|h| h.answer.is_some() || h.abandoned);
+            let done = self.hits.get(id).is_none_or(|h| h.answer.is_some() || h.abandoned_at.is_some());
             if now - *at < HIT_RETENTION && (!done || self.sent_order.len() < 100_000) {
                 break;
             }
@@ -355,8 +358,11 @@
     /// The client stopped waiting, or its connection ended without an answer. `answer_due` is false if the marshal was
     /// not obliged to answer.
     pub fn client_left(&mut self, id: &str, answer_due: bool, now: Time) {
-        let Some(hit) = self.hits.get_mut(id).filter(|h| h.answer.is_none() && !h.abandoned) else { return };
-        hit.abandoned = true;
+        let Some(hit) = self.hits.get_mut(id).filter(|h| h.answer.is_none() && h.abandoned_at.is_none())
+        else {
+            return;
+        };
+        hit.abandoned_at = Some(now);
         // A client that first waited for a connection may give up before the marshal's deadline of the hit.
         if answer_due && now - hit.sent_at > hit.request.client_timeout + self.bounds.socket_slack {
             self.totals.unanswered += 1;
@@ -374,6 +380,14 @@
             let (effect, sent_at, client_timeout) =
                 (hit.request.effect, hit.sent_at, hit.request.client_timeout);
             let after_answer = hit.answer.is_some_and(|(_, at)| now - at > slack);
+            let left_ago = hit.abandoned_at.map_or(Span::ZERO, |at| now - at);
+            if left_ago > self.bounds.departure_grace + slack {
+                self.record_violation(
+                    1,
+                    now,
+                    format!("hit {id} was sent to {node} {:.3} s after its client left", left_ago.seconds()),
+                );
+            }
             if after_answer {
                 self.record_violation(1, now, format!("hit {id} was sent to {node} after it was answered"));
             }
--- a/crates/lab/src/lib.rs
+++ b/crates/lab/src/lib.rs
@@ -4,7 +4,7 @@
 //! - [`node`], [`discovery`], [`platform`]: stand-ins for the other parties, written from the operators' protocol
 //!   page.
 //! - [`load`]: well-behaved clients that send hits in an open loop; [`misbehaving`]: clients that violate the protocol
-//!   or flood the marshal.
+//!   or flood the marshal; [`raw_client`]: one blocking client that sends any bytes.
 //! - [`wire`]: RESP messages of the stand-ins.
 //! - [`site`]: settings and configuration of a small site; [`program`]: a marshal as a child process, observed from
 //!   outside.
@@ -29,6 +29,7 @@
 pub mod platform;
 pub mod plot;
 pub mod program;
+pub mod raw_client;
 pub mod release;
 pub mod rollout;
 pub mod runtime;
--- a/crates/lab/src/node.rs
+++ b/crates/lab/src/node.rs
@@ -22,6 +22,8 @@
     /// Sends these bytes unchanged. The command does not count as executed; it counts as rejected if the bytes begin
     /// with `-BUSY`.
     Send(Vec<u8>),
+    /// Like `Send`, this long after the command arrived.
+    SendAfter(Duration, Vec<u8>),
     /// Sends these bytes unchanged and closes the connection; the command does not count as executed.
     SendAndClose(Vec<u8>),
     /// Executes the command, and sends these bytes 1 ms after the reply.
@@ -372,10 +374,10 @@
             }
             (None, FaultMode::Silent | FaultMode::NotReading | FaultMode::Refusing) => {}
             (Some(ScriptedReply::Send(text)), _) => {
-                if text.starts_with(b"-BUSY") {
-                    self.checker.lock().forward_rejected(&id);
-                }
-                pending_replies.push_back(PendingReply::at(now, text));
+                self.queue_scripted_reply(&id, now, text, pending_replies)
+            }
+            (Some(ScriptedReply::SendAfter(delay, text)), _) => {
+                self.queue_scripted_reply(&id, now + delay, text, pending_replies)
             }
             (Some(ScriptedReply::SendAndClose(text)), _) => {
                 pending_replies.push_back(PendingReply { close: true, ..PendingReply::at(now, text) })
@@ -403,6 +405,16 @@
         true
     }
 
+    /// Queues scripted bytes as the reply to a command that does not count as executed.
+    fn queue_scripted_reply(
+        &self, id: &str, send_at: Instant, text: Vec<u8>, pending_replies: &mut VecDeque<PendingReply>,
+    ) {
+        if text.starts_with(b"-BUSY") {
+            self.checker.lock().forward_rejected(id);
+        }
+        pending_replies.push_back(PendingReply::at(send_at, text));
+    }
+
     /// Draws the reply to a command, and the time at which it is ready.
     fn draw_reply(&self, id: &str, fields: &str) -> (Instant, Vec<u8>) {
         let mut inner = self.lock();
