Clients: notice the end of a connection at all times; forward nothing after it

Cause: the task of a connection learnt of its end only by reading it. It read only while fewer than 128 commands were open and few replies unsent, and what stood before the end was dispatched as usual. With megabytes unread the end does not even reach the marshal, as the system holds it behind the data.

Change: the reactor reports the end of the peer's sending by itself, apart from readiness to read and to write. At that event the client's hits are given up (cancelled, answered with an error, which a client that only ended its sending can still read); commands read later are refused.

Why it works: the event comes with the end itself or with the last byte read before it, and every path that forwards asks may_open_hit or has_departed.

--- a/crates/lab/src/raw_client.rs
+++ b/crates/lab/src/raw_client.rs
@@ -45,7 +45,8 @@
         if self.0.read_line(&mut line)? == 0 {
             return Ok(None);
         }
-        let Some(length) = line.strip_prefix('$').and_then(|text| text.trim_end().parse::<usize>().ok()) else {
+        let Some(length) = line.strip_prefix('$').and_then(|text| text.trim_end().parse::<usize>().ok())
+        else {
             return Ok(Some(line.trim_end().to_owned()));
         };
         let mut value = vec![0; length + 2];
--- a/crates/marshal/src/client.rs
+++ b/crates/marshal/src/client.rs
@@ -6,7 +6,6 @@
 use crate::reactor::Async;
 use crate::turn::{Signal, is_open_without_input, try_write, write_available};
 use std::cell::{Cell, RefCell};
-use std::collections::VecDeque;
 use std::net::TcpStream;
 use std::rc::{Rc, Weak};
 use stonescale::time::{Span, Time};
@@ -14,8 +13,9 @@
 use stonescale_budget::plan::CLIENT_CONNECTION_BYTES;
 use stonescale_budget::purpose::ReclaimAction;
 use stonescale_budget::{Buffer, Charge, Ledger, Purpose, eviction};
+use stonescale_connection::{NextReply, ReplyQueue};
 
-/// Limit on the commands in progress of one connection, at which reading pauses.
+/// Limit on the commands in progress of one connection, above which further ones are refused.
 pub const MAX_PENDING_COMMANDS: usize = 128;
 /// Limit on the unsent reply bytes of one connection, at which reading pauses.
 const MAX_UNSENT_BYTES: usize = 2 * command::MAX_VALUE_BYTES;
@@ -40,12 +40,12 @@
     }
 }
 
-/// A command of the connection in progress, in order of arrival.
-enum Slot {
-    /// No reply yet; holds the number of the hit once the core task has assigned one.
-    Pending(Option<u32>),
-    /// The reply waits for those before it.
-    Ready(Reply),
+/// When the bytes of a reply are written.
+#[derive(Clone, Copy, PartialEq, Eq)]
+enum Sending {
+    Now,
+    /// With the other replies of the connection's turn.
+    WithNextFlush,
 }
 
 /// The state of one client connection.
@@ -54,9 +54,9 @@
     /// `None` once the connection has ended: the descriptor must not stay open while others hold a reference
     /// to this value.
     stream: RefCell<Option<Rc<Async<TcpStream>>>>,
-    slots: RefCell<VecDeque<Slot>>,
-    /// Sequence number of the first slot within this connection.
-    first_sequence: Cell<u64>,
+    /// Number of the connection in this process, for the log.
+    pub number: u64,
+    commands: RefCell<ReplyQueue<Reply>>,
     write_buffer: RefCell<Buffer>,
     accepted_at: Time,
     /// When the client last accepted reply bytes or was last offered a reply; at first when the connection was
@@ -68,8 +68,10 @@
     pub closed: Cell<bool>,
     /// Its descriptor is needed for other clients: its task closes it if it is still idle then.
     pub evict_if_idle: Cell<bool>,
-    /// To be closed as soon as all commands are answered.
+    /// To be closed as soon as all commands are answered; no further hits are accepted.
     pub closing: Cell<bool>,
+    /// The client has ended its sending or its connection has failed: nothing more is forwarded for it.
+    departed: Cell<bool>,
     /// To be closed at once: the client does not read, or the connection failed.
     aborted: Cell<bool>,
     /// Wakes the connection's task.
@@ -79,14 +81,16 @@
 
 impl Client {
     /// Creates the state of a newly accepted connection, whose record is already charged.
-    pub fn new(registry: Rc<ClientRegistry>, stream: Async<TcpStream>, charge: Charge) -> Rc<Self> {
+    pub fn new(
+        registry: Rc<ClientRegistry>, number: u64, stream: Async<TcpStream>, charge: Charge,
+    ) -> Rc<Self> {
         let write_buffer = RefCell::new(Buffer::new(&registry.ledger, Purpose::ClientOutput));
         let now = registry.clock.now();
         Rc::new(Client {
             registry,
             stream: RefCell::new(Some(Rc::new(stream))),
-            slots: RefCell::default(),
-            first_sequence: Cell::new(0),
+            number,
+            commands: RefCell::new(ReplyQueue::new(MAX_PENDING_COMMANDS)),
             write_buffer,
             accepted_at: now,
             last_activity: Cell::new(now),
@@ -94,6 +98,7 @@
             closed: Cell::new(false),
             evict_if_idle: Cell::new(false),
             closing: Cell::new(false),
+            departed: Cell::new(false),
             aborted: Cell::new(false),
             signal: Signal::default(),
             _charge: charge,
@@ -111,51 +116,78 @@
         self.last_activity.get()
     }
 
-    /// Reserves a slot for the next command and returns its sequence number.
+    /// Adds a command that will be answered by [`Client::reply`], and returns its sequence number.
     pub fn reserve_sequence(&self) -> u64 {
-        let sequence = self.commands_received();
-        self.slots.borrow_mut().push_back(Slot::Pending(None));
-        sequence
+        self.commands.borrow_mut().push_pending()
     }
 
-    /// Records the number of the hit that occupies a slot.
+    /// Adds a command that is answered with `line`, which promises that it did not run.
+    pub fn refuse(&self, line: &[u8]) {
+        self.commands.borrow_mut().push_refused(line);
+    }
+
+    /// Whether a further hit may be forwarded: the client is there, the connection is not to be closed, and the commands
+    /// in progress are not at their limit.
+    pub fn may_open_hit(&self) -> bool {
+        !self.departed.get() && !self.closing.get() && !self.is_full()
+    }
+
+    /// Whether the commands in progress are at their limit.
+    pub fn is_full(&self) -> bool {
+        self.commands.borrow().is_full()
+    }
+
+    /// Records the number of the hit that a command became.
     pub fn bind_hit(&self, sequence: u64, hit: u32) {
-        let index = sequence.wrapping_sub(self.first_sequence.get()) as usize;
-        if let Some(Slot::Pending(slot_hit)) = self.slots.borrow_mut().get_mut(index) {
-            *slot_hit = Some(hit);
-        }
+        self.commands.borrow_mut().bind_hit(sequence, hit);
     }
 
     /// Sets the reply to the command `sequence`; it is sent once those before it have been.
     pub fn reply(&self, sequence: u64, reply: Reply) {
-        if self.closed.get() || self.aborted.get() {
-            return;
-        }
-        let was_full = self.slots.borrow().len() >= MAX_PENDING_COMMANDS;
-        let index = sequence.wrapping_sub(self.first_sequence.get()) as usize;
-        if !matches!(self.slots.borrow().get(index), Some(Slot::Pending(_))) {
+        if !self.set_reply(sequence, reply) {
             return;
         }
-        let reply = if index > 0 { self.charge_waiting_reply(reply) } else { reply };
-        if let Some(slot) = self.slots.borrow_mut().get_mut(index) {
-            *slot = Slot::Ready(reply);
-        }
-        while let Some(reply) = self.pop_ready_reply() {
-            self.write_reply(reply);
-        }
+        self.send_ready(Sending::Now);
         // Every hit passes here, so the connection's own task is woken only if it has something to do.
-        if self.aborted.get() || !self.write_buffer.borrow().is_empty() || was_full || self.closing.get() {
+        if self.aborted.get() || self.has_unsent_bytes() || self.closing.get() || self.departed.get() {
             self.signal.raise();
         }
     }
 
-    fn pop_ready_reply(&self) -> Option<Reply> {
-        let mut slots = self.slots.borrow_mut();
-        let Some(Slot::Ready(reply)) = slots.pop_front_if(|s| matches!(s, Slot::Ready(_))) else {
-            return None;
-        };
-        self.first_sequence.set(self.first_sequence.get() + 1);
-        Some(reply)
+    /// Like [`Client::reply`], for the connection's own task, which flushes all replies of a turn together.
+    pub fn reply_in_turn(&self, sequence: u64, reply: Reply) {
+        if self.set_reply(sequence, reply) {
+            self.send_ready(Sending::WithNextFlush);
+        }
+    }
+
+    /// Records a reply; false if the command has one already or the connection has ended.
+    fn set_reply(&self, sequence: u64, reply: Reply) -> bool {
+        if self.closed.get() || self.aborted.get() || !self.commands.borrow().is_pending(sequence) {
+            return false;
+        }
+        let waits = !self.commands.borrow().is_first(sequence);
+        let reply = if waits { self.charge_waiting_reply(reply) } else { reply };
+        self.commands.borrow_mut().set_reply(sequence, reply)
+    }
+
+    /// Sends the replies whose turn it is. Refusals are sent while the unsent bytes are below their limit, and
+    /// otherwise continue with the next flush.
+    fn send_ready(&self, sending: Sending) {
+        loop {
+            let unsent = self.write_buffer.borrow().len();
+            let mut commands = self.commands.borrow_mut();
+            if self.aborted.get() || unsent >= MAX_UNSENT_BYTES && commands.is_refusal_next() {
+                return;
+            }
+            let next = commands.pop_ready(MAX_UNSENT_BYTES.saturating_sub(unsent));
+            drop(commands);
+            match next {
+                Some(NextReply::Single(reply)) => self.write_reply(reply.as_slice(), sending),
+                Some(NextReply::Refusals(lines)) => self.write_reply(&lines, sending),
+                None => return,
+            }
+        }
     }
 
     /// Charges a reply that waits for those before it to client output. If there is no room even after
@@ -173,12 +205,19 @@
     }
 
     /// Writes a reply; the bytes that the socket does not accept now are buffered.
-    fn write_reply(&self, reply: Reply) {
+    fn write_reply(&self, bytes: &[u8], sending: Sending) {
+        let buffered =
+            sending == Sending::WithNextFlush && self.write_buffer.borrow_mut().extend(bytes).is_ok();
+        if buffered {
+            return;
+        }
         let Some(stream) = self.stream() else { return };
-        let bytes = reply.as_slice();
         let mut write_buffer = self.write_buffer.borrow_mut();
         let written = if write_buffer.is_empty() { try_write(&stream, bytes) } else { Ok(0) };
-        let Ok(written) = written else { return self.abort() };
+        let Ok(written) = written else {
+            drop(write_buffer);
+            return self.abort();
+        };
         self.last_activity.set(self.registry.clock.now());
         let remaining = &bytes[written..];
         if remaining.is_empty() || write_buffer.extend(remaining).is_ok() {
@@ -192,18 +231,24 @@
         }
     }
 
-    /// Writes as much of the buffer as the socket accepts now.
+    /// Writes as much as the socket accepts now, of the buffer and of the replies whose turn comes meanwhile.
     pub fn flush(&self) -> std::io::Result<()> {
-        let Some(stream) = self.stream() else { return Ok(()) };
-        let (mut write_buffer, mut written) = (self.write_buffer.borrow_mut(), 0);
-        // Flushing an empty buffer is not activity.
-        if !write_buffer.is_empty() {
-            write_available(&stream, &mut write_buffer, &mut written)?;
-        }
-        if written > 0 {
-            self.last_activity.set(self.registry.clock.now());
+        loop {
+            self.send_ready(Sending::WithNextFlush);
+            let Some(stream) = self.stream() else { return Ok(()) };
+            let (mut write_buffer, mut written) = (self.write_buffer.borrow_mut(), 0);
+            // Flushing an empty buffer is not activity.
+            if write_buffer.is_empty() {
+                return Ok(());
+            }
+            let emptied = write_available(&stream, &mut write_buffer, &mut written)?;
+            if written > 0 {
+                self.last_activity.set(self.registry.clock.now());
+            }
+            if !emptied {
+                return Ok(());
+            }
         }
-        Ok(())
     }
 
     /// Closes the connection at once, and releases the memory of its unsent replies.
@@ -213,10 +258,8 @@
             let unsent = write_buffer.len();
             write_buffer.consume(unsent, 0);
         }
-        if let Ok(mut slots) = self.slots.try_borrow_mut() {
-            for slot in slots.iter_mut().filter(|s| matches!(s, Slot::Ready(_))) {
-                *slot = Slot::Ready(Reply::Line(Vec::new()));
-            }
+        if let Ok(mut commands) = self.commands.try_borrow_mut() {
+            commands.waiting_replies_mut().for_each(|reply| *reply = Reply::Line(Vec::new()));
         }
         self.signal.raise();
     }
@@ -228,16 +271,16 @@
 
     /// Number of commands received on the connection.
     pub fn commands_received(&self) -> u64 {
-        self.first_sequence.get() + self.slots.borrow().len() as u64
+        self.commands.borrow().commands()
     }
 
-    /// Whether further commands are accepted: neither the commands in progress nor the unsent bytes are at
-    /// their limit. When memory for client output is short, only connections without unsent bytes accept any.
+    /// Whether further commands are read: the unsent bytes are not at their limit. When memory for client output is
+    /// short, only connections without unsent bytes are read.
     pub fn accepts_commands(&self) -> bool {
         let unsent = self.write_buffer.borrow().len();
         let not_short = unsent == 0
             || self.registry.ledger.reclaim_action(Purpose::ClientOutput) == ReclaimAction::Nothing;
-        self.slots.borrow().len() < MAX_PENDING_COMMANDS && unsent < MAX_UNSENT_BYTES && not_short
+        unsent < MAX_UNSENT_BYTES && not_short
     }
 
     /// Whether reply bytes are buffered that the socket has not accepted.
@@ -247,7 +290,7 @@
 
     /// Whether all commands are answered and all replies written.
     pub fn is_drained(&self) -> bool {
-        self.slots.borrow().is_empty() && !self.has_unsent_bytes()
+        self.commands.borrow().is_empty() && !self.has_unsent_bytes()
     }
 
     /// Whether closing now loses nothing: no command is in progress and no unread input is pending.
@@ -255,28 +298,38 @@
         self.is_drained() && self.stream().is_some_and(|stream| is_open_without_input(&stream))
     }
 
+    /// Whether the client has ended its sending or its connection has failed.
+    pub fn has_departed(&self) -> bool {
+        self.departed.get()
+    }
+
+    /// Records that the client has ended its sending or its connection has failed, and returns its unanswered hits.
+    pub fn depart(&self) -> Vec<u32> {
+        self.departed.set(true);
+        self.commands.borrow().pending_hits().collect()
+    }
+
     /// Marks the connection as ended and returns its unanswered hits.
     pub fn close(&self) -> Vec<u32> {
         self.closed.set(true);
         self.stream.take();
-        let slots = std::mem::take(&mut *self.slots.borrow_mut());
-        let unanswered = |slot| if let Slot::Pending(hit) = slot { hit } else { None };
-        slots.into_iter().filter_map(unanswered).collect()
+        let unanswered = self.depart();
+        self.commands.borrow_mut().clear();
+        unanswered
     }
 
     fn eviction_state(&self) -> eviction::ClientState {
-        let ready_bytes = |s: &Slot| if let Slot::Ready(reply) = s { reply.as_slice().len() } else { 0 };
-        let waiting_bytes = self.slots.try_borrow().map(|slots| slots.iter().map(ready_bytes).sum::<usize>());
+        let commands = self.commands.try_borrow().ok();
+        let waiting_bytes = |commands: &ReplyQueue<Reply>| -> usize {
+            commands.waiting_replies().map(|reply| reply.as_slice().len()).sum()
+        };
         eviction::ClientState {
             unsent_bytes: self.write_buffer.try_borrow().map_or(0, |write_buffer| write_buffer.len())
-                + waiting_bytes.unwrap_or(0),
+                + commands.as_deref().map_or(0, waiting_bytes),
             last_activity: self.last_activity.get(),
             accepted_at: self.accepted_at,
-            commands: self
-                .slots
-                .try_borrow()
-                .map_or(0, |slots| self.first_sequence.get() + slots.len() as u64),
-            has_pending_hits: self.slots.try_borrow().map_or(true, |slots| !slots.is_empty()),
+            commands: commands.as_deref().map_or(0, ReplyQueue::commands),
+            has_pending_hits: commands.as_deref().is_none_or(|commands| !commands.is_empty()),
             closing: self.closed.get() || self.aborted.get() || self.closing.get(),
         }
     }
@@ -288,17 +341,19 @@
     pub ledger: Ledger,
     pub clock: Clock,
     clients: RefCell<Vec<Weak<Client>>>,
+    last_number: Cell<u64>,
 }
 
 impl ClientRegistry {
     pub fn new(ledger: Ledger, clock: Clock) -> Rc<Self> {
-        Rc::new(ClientRegistry { ledger, clock, clients: RefCell::default() })
+        Rc::new(ClientRegistry { ledger, clock, clients: RefCell::default(), last_number: Cell::new(0) })
     }
 
     /// Registers a newly accepted connection; `None` without room for its record.
     pub fn register(self: &Rc<Self>, stream: Async<TcpStream>) -> Option<Rc<Client>> {
         let charge = self.ledger.charge(Purpose::Clients, CLIENT_CONNECTION_BYTES).ok()?;
-        let client = Client::new(self.clone(), stream, charge);
+        self.last_number.set(self.last_number.get() + 1);
+        let client = Client::new(self.clone(), self.last_number.get(), stream, charge);
         self.clients.borrow_mut().retain(|c| c.strong_count() > 0);
         self.clients.borrow_mut().push(Rc::downgrade(&client));
         Some(client)
--- a/crates/marshal/src/core.rs
+++ b/crates/marshal/src/core.rs
@@ -392,6 +392,9 @@
         if client.closed.get() {
             return;
         }
+        if client.has_departed() {
+            return client.reply(sequence, Reply::Line(command::errored_reply()));
+        }
         #[cfg(feature = "mutants")]
         crate::mutants::leak_on_hit();
         let now = self.host.now;
@@ -445,9 +448,11 @@
 
     fn handle_client_left(&mut self, hit: u32) {
         let now = self.host.now;
-        if let Some(pending) = self.host.hits.get_mut(hit) {
-            pending.answered = true;
+        if let Some(pending) = self.host.hits.get_mut(hit).filter(|pending| !pending.answered) {
             trace!("hit {}: client disconnected", pending.command.id());
+            pending.answered = true;
+            // A client that only ended its sending may still read.
+            pending.client.reply(pending.sequence, Reply::Line(command::errored_reply()));
             self.marshal.on_client_left(&mut self.host, now, hit);
             self.host.release_if_done(hit);
         }
--- a/crates/marshal/src/discovery.rs
+++ b/crates/marshal/src/discovery.rs
@@ -3,7 +3,7 @@
 
 use crate::inbox::{ControlEvent, Inbox, NodeEntry};
 use crate::reactor::Async;
-use crate::turn::{Signal, Wakeup, connect, read_available, wait_for_wakeup};
+use crate::turn::{Interest, Signal, Wakeup, connect, read_available, wait_for_wakeup};
 use async_executor::{LocalExecutor, Task};
 use serde::Deserialize;
 use std::borrow::Cow;
@@ -273,9 +273,9 @@
     ) -> Result<bool, String> {
         body.clear();
         let (signal, deadline) = (Signal::default(), Instant::now() + SILENCE_TIMEOUT);
+        let interest = Interest { read: true, ..Interest::default() };
         loop {
-            if wait_for_wakeup(stream, true, false, &signal, Some(deadline)).await == Wakeup::DeadlineReached
-            {
+            if wait_for_wakeup(stream, interest, &signal, Some(deadline)).await == Wakeup::DeadlineReached {
                 return Err(format!("nothing received for {SILENCE_TIMEOUT:?}"));
             }
             match read_available(stream, scratch) {
--- a/crates/marshal/src/main.rs
+++ b/crates/marshal/src/main.rs
@@ -2,6 +2,7 @@
 
 mod allocator;
 mod client;
+mod client_task;
 mod clients;
 mod clock;
 mod command;
--- a/crates/marshal/src/nodes.rs
+++ b/crates/marshal/src/nodes.rs
@@ -7,8 +7,8 @@
 use crate::inbox::{HitEvent, Inbox};
 use crate::reactor::Async;
 use crate::turn::{
-    Signal, Wakeup, connect, is_open_without_input, read_available, try_write_vectored, wait_for_wakeup,
-    write_available,
+    Interest, Signal, Wakeup, connect, is_open_without_input, read_available, try_write_vectored,
+    wait_for_wakeup, write_available,
 };
 use async_executor::LocalExecutor;
 use std::cell::{Cell, RefCell};
@@ -479,11 +479,12 @@
             };
             // Without memory the reply stays in the socket buffer until there is some or the reply times out.
             let has_room = received.reserve(needed).is_ok();
-            let wants_write = !connection.write_buffer.borrow().is_empty();
+            let write = !connection.write_buffer.borrow().is_empty();
+            let interest = Interest { read: has_room, write, ..Interest::default() };
             let reply_deadline = reply_started.map(|at| at + self.reply_timeout);
             let retry_at = (!has_room).then(|| Instant::now() + MEMORY_RETRY_INTERVAL);
             let deadline = reply_deadline.into_iter().chain(retry_at).min();
-            match wait_for_wakeup(&stream, has_room, wants_write, &connection.signal, deadline).await {
+            match wait_for_wakeup(&stream, interest, &connection.signal, deadline).await {
                 Wakeup::Readable => {}
                 // The length is too large or the line has no terminator: the rest will never come.
                 Wakeup::DeadlineReached if reply_deadline.is_some_and(|at| at <= Instant::now()) => {
--- a/crates/marshal/src/platform.rs
+++ b/crates/marshal/src/platform.rs
@@ -4,7 +4,7 @@
 use crate::clock::duration;
 use crate::inbox::{ControlEvent, Inbox, StageReport};
 use crate::reactor::{Async, Timer};
-use crate::turn::{Signal, Wakeup, connect, read_available, wait_for_wakeup, write_available};
+use crate::turn::{Interest, Signal, Wakeup, connect, read_available, wait_for_wakeup, write_available};
 use async_executor::LocalExecutor;
 use rand::{RngExt, SeedableRng};
 use rand_pcg::Pcg64Mcg;
@@ -270,15 +270,9 @@
                 return format!("connection failed: {e}");
             }
             let deadline = self.next_deadline(endpoint).map_or(silent_at, |deadline| deadline.min(silent_at));
-            match wait_for_wakeup(
-                stream,
-                true,
-                !connection.write_buffer.is_empty(),
-                &endpoint.signal,
-                Some(deadline),
-            )
-            .await
-            {
+            let write = !connection.write_buffer.is_empty();
+            let interest = Interest { read: true, write, ..Interest::default() };
+            match wait_for_wakeup(stream, interest, &endpoint.signal, Some(deadline)).await {
                 Wakeup::DeadlineReached if Instant::now() >= silent_at => {
                     return format!("nothing received for {SILENCE_TIMEOUT:?}");
                 }
--- a/crates/marshal/src/reactor.rs
+++ b/crates/marshal/src/reactor.rs
@@ -30,15 +30,27 @@
     waker: Option<Waker>,
 }
 
-/// State of a registered socket. Once the peer has closed or the connection has failed, both directions stay ready.
+/// State of a registered socket.
 #[derive(Default)]
 struct SocketState {
-    directions: [Direction; 2],
-    closed: bool,
+    directions: [Direction; 3],
+    /// The connection is closed in both directions, or has failed: nothing blocks any more.
+    hung_up: bool,
+}
+
+impl SocketState {
+    /// Whether an operation in this direction would not block. Writing may block after the peer has ended its sending;
+    /// reading may not.
+    fn is_ready(&self, direction: usize) -> bool {
+        let after_end = direction == READ && self.directions[INPUT_END].ready;
+        self.hung_up || after_end || self.directions[direction].ready
+    }
 }
 
 const READ: usize = 0;
 const WRITE: usize = 1;
+/// Ready once the peer has ended its sending or the connection has failed, also while input is unread.
+const INPUT_END: usize = 2;
 
 #[derive(Default)]
 struct Reactor {
@@ -94,7 +106,7 @@
         poll_fn(|cx| {
             with_reactor(|reactor| {
                 let socket = &mut reactor.sockets[self.index];
-                if socket.closed || socket.directions[direction].ready {
+                if socket.is_ready(direction) {
                     return Poll::Ready(());
                 }
                 socket.directions[direction].waker = Some(cx.waker().clone());
@@ -114,6 +126,11 @@
         self.wait_ready(WRITE).await;
     }
 
+    /// Waits until the peer has ended its sending or the connection has failed. Input may still be unread then.
+    pub async fn input_ended(&self) {
+        self.wait_ready(INPUT_END).await;
+    }
+
     /// To be called once there is nothing left to read or accept: `readable` then waits for the next event.
     pub fn clear_readable(&self) {
         with_reactor(|reactor| reactor.sockets[self.index].directions[READ].ready = false);
@@ -229,17 +246,15 @@
         for event in events.iter() {
             let (flags, index) = (event.flags, event.data.u64() as usize);
             let Some(socket) = reactor.sockets.get_mut(index) else { continue };
-            socket.closed |= flags.intersects(EventFlags::RDHUP | EventFlags::HUP | EventFlags::ERR);
+            socket.hung_up |= flags.intersects(EventFlags::HUP | EventFlags::ERR);
             socket.directions[READ].ready |= flags.contains(EventFlags::IN);
             socket.directions[WRITE].ready |= flags.contains(EventFlags::OUT);
-            let closed = socket.closed;
-            woken.extend(
-                socket
-                    .directions
-                    .iter_mut()
-                    .filter(|direction| direction.ready || closed)
-                    .filter_map(|direction| direction.waker.take()),
-            );
+            socket.directions[INPUT_END].ready |= flags.contains(EventFlags::RDHUP);
+            for direction in [READ, WRITE, INPUT_END] {
+                if socket.is_ready(direction) {
+                    woken.extend(socket.directions[direction].waker.take());
+                }
+            }
         }
         let now = Instant::now();
         while let Some(entry) = reactor.timers.first_entry().filter(|e| e.key().0 <= now) {
--- a/crates/marshal/src/turn.rs
+++ b/crates/marshal/src/turn.rs
@@ -48,24 +48,41 @@
     Readable,
     /// The socket may be writable, or is closed.
     Writable,
+    /// The peer has ended its sending, or the connection has failed; input may still be unread.
+    InputEnded,
     Signaled,
     DeadlineReached,
 }
 
-/// Waits for the next event: the socket becomes readable (only if `read`) or writable (only if `write`), the signal is
-/// raised, or the deadline is reached.
+/// The events of a socket for which a task waits.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct Interest {
+    pub read: bool,
+    pub write: bool,
+    /// The end of the peer's sending, which is seen also while nothing is read.
+    pub input_end: bool,
+}
+
+/// Waits for the next event: one of the socket in which there is interest, the signal, or the deadline.
 pub async fn wait_for_wakeup(
-    stream: &Async<TcpStream>, read: bool, write: bool, signal: &Signal, deadline: Option<Instant>,
+    stream: &Async<TcpStream>, interest: Interest, signal: &Signal, deadline: Option<Instant>,
 ) -> Wakeup {
+    let input_ended = async {
+        match interest.input_end {
+            true => stream.input_ended().await,
+            false => pending().await,
+        }
+        Wakeup::InputEnded
+    };
     let readable = async {
-        match read {
+        match interest.read {
             true => stream.readable().await,
             false => pending().await,
         }
         Wakeup::Readable
     };
     let writable = async {
-        match write {
+        match interest.write {
             true => stream.writable().await,
             false => pending().await,
         }
@@ -82,7 +99,7 @@
         }
         Wakeup::DeadlineReached
     };
-    or(or(signaled, readable), or(writable, deadline_reached)).await
+    or(or(or(signaled, input_ended), readable), or(writable, deadline_reached)).await
 }
 
 /// Reads the available bytes into `scratch`: `None` if there are none yet, an empty slice at the end of the
--- a/crates/marshal/tests/departed_clients.rs
+++ b/crates/marshal/tests/departed_clients.rs
@@ -72,6 +72,36 @@
     assert_eq!(world.checker.violation_report(), "");
 }
 
+/// The end of the connection reaches the marshal only once it has read what the system holds for the client.
+#[rstest]
+#[case::silent_nodes(None)]
+#[case::nodes_that_reject_late(Some(Duration::from_millis(500)))]
+fn megabytes_unread_do_not_hide_that_their_client_left(#[case] rejected_after: Option<Duration>) {
+    let world = world(4);
+    match rejected_after {
+        None => world.set_fault_mode_of_all_nodes(FaultMode::Silent),
+        Some(delay) => world.nodes.iter().for_each(|node| {
+            node.script(vec![ScriptedReply::SendAfter(delay, b"-BUSY\r\n".to_vec()); 1_000])
+        }),
+    }
+    let hits: Vec<_> = (1..=PIPELINED_COMMANDS / 2)
+        .map(|number| {
+            let mut hit = hit(&world, number, MUTATING, CLIENT_TIMEOUT);
+            hit.kind.body_bytes = 60_000;
+            hit
+        })
+        .collect();
+    let mut client = RawClient::connect(world.program.addr).unwrap();
+    client.stream().set_write_timeout(Some(Duration::from_millis(100))).unwrap();
+    let commands: Vec<_> = hits.iter().map(TestHit::encode).collect();
+    let commands = commands.concat();
+    hits.iter().for_each(|hit| hit.record_sent(&world.checker, world.runtime.clock));
+    // As much as the system takes without waiting for the marshal; the rest is never sent.
+    let _ = client.send(&commands);
+    leave(&world, client, &hits);
+    assert_eq!(world.checker.violation_report(), "");
+}
+
 #[test]
 fn commands_read_only_after_their_client_half_closed_are_answered_without_a_forward() {
     let world = world(4);
@@ -104,6 +134,31 @@
     assert_eq!(world.checker.violation_report(), "");
 }
 
+#[test]
+fn a_client_that_half_closed_and_reads_nothing_does_not_hold_up_others() {
+    let large_values = NodeBehavior { value_bytes: 60_000, ..NodeBehavior::default() };
+    let binary = Path::new(env!("CARGO_BIN_EXE_stonescale"));
+    let world = World::start(binary, 4, Limits::default(), &large_values, &[]).unwrap();
+    let hits: Vec<_> =
+        (1..=PIPELINED_COMMANDS).map(|number| hit(&world, number, REPEATABLE, CLIENT_TIMEOUT)).collect();
+    let reader = RawClient::connect(world.program.addr).unwrap();
+    rustix::net::sockopt::set_socket_recv_buffer_size(reader.stream(), 16 * 1024).unwrap();
+    let mut reader = reader;
+    reader.send(&hits.iter().flat_map(TestHit::encode).collect::<Vec<_>>()).unwrap();
+    // The first values fill the buffers between the marshal and this client.
+    assert!(wait_until(TEST_TIMEOUT, || commands_received(&world) > 16));
+    reader.end_sending().unwrap();
+    let mut other = RawClient::connect(world.program.addr).unwrap();
+    for _ in 0..5 {
+        let asked_at = Instant::now();
+        other.send(b"*1\r\n$4\r\nPING\r\n").unwrap();
+        assert_eq!(other.read_reply().unwrap().unwrap(), "+PONG");
+        let latency = asked_at.elapsed();
+        assert!(latency < world.path_groups[REPEATABLE].latency_target, "answered after {latency:?}");
+        std::thread::sleep(Duration::from_millis(50));
+    }
+}
+
 /// A listener whose queue of connections is full: a new connection comes up only after `accept_all`, when the system
 /// sends its request again a second later.
 struct FullListener {
