Nodes: a forward that is given up before it is written never reaches its node

Cause: abort_forward reported the end of a forward, but left its bytes in the queue of a connection that other forwards share; they were written once the connection came up or the node read on. A forward written in part was reported as never sent, and its rest was written later. A drained node's connection wrote what was queued behind a written forward.

Change: crates/connection holds the queue of a connection (forward_queue), without I/O. A forward none of whose bytes are written is removed from the queue; one written in part is cut off, with those behind it reported as unsent and the connection closed to further ones; one that is written waits for its reply as before. A hit that is answered, or whose client left, withdraws what of it is unwritten, also where the settings allow no cancelling; a draining node's unwritten forwards go elsewhere.

Why it works: 'never sent' now follows from bytes that can't be written any more.

--- a/crates/budget/src/buffer.rs
+++ b/crates/budget/src/buffer.rs
@@ -99,6 +99,15 @@
         }
     }
 
+    /// Removes the bytes in this range of those that are not consumed yet.
+    pub fn remove(&mut self, range: Range<usize>) {
+        let (start, end) = (range.start.min(self.len()), range.end.min(self.len()));
+        self.bytes.drain(self.consumed + start..self.consumed + end.max(start));
+        if self.is_empty() {
+            self.consume(0, 0);
+        }
+    }
+
     /// Releases the capacity of an empty buffer; returns the number of bytes that were charged for it.
     pub fn release(&mut self) -> usize {
         if !self.is_empty() {
--- a/crates/connection/src/lib.rs
+++ b/crates/connection/src/lib.rs
@@ -1,8 +1,11 @@
-//! Decisions about client connections, without I/O: the order of replies on one connection and how many commands it may
-//! have open ([`reply_queue`]), and which hit ids may be used ([`hit_ids`]).
+//! Decisions about connections, without I/O: the order of replies on a client's connection and how many commands it may
+//! have open ([`reply_queue`]), which hit ids may be used ([`hit_ids`]), and what becomes of the forwards on a connection
+//! to a node ([`forward_queue`]).
 
+pub mod forward_queue;
 pub mod hit_ids;
 pub mod reply_queue;
 
+pub use forward_queue::{ForwardKey, ForwardQueue, GiveUp};
 pub use hit_ids::{HitId, HitIds};
 pub use reply_queue::{NextReply, ReplyQueue};
--- a/crates/marshal/src/core.rs
+++ b/crates/marshal/src/core.rs
@@ -21,6 +21,7 @@
 use stonescale_budget::plan::NODE_RECORD_BYTES;
 use stonescale_budget::purpose::ReclaimAction;
 use stonescale_budget::{Charge, Ledger, Purpose};
+use stonescale_connection::ForwardKey;
 use stonescale_store::{Slots, TimerHandle, TimerWheel};
 use tracing::{debug, info, trace, warn};
 
@@ -140,10 +141,19 @@
 
     /// Replies to a hit unless it has been answered.
     fn reply(&mut self, hit: u32, line: impl FnOnce() -> Vec<u8>) {
-        if let Some(pending) = self.hits.get_mut(hit).filter(|pending| !pending.answered) {
-            pending.answered = true;
-            pending.client.reply(pending.sequence, Reply::Line(line()));
-            self.release_if_done(hit);
+        self.finish(hit, || Reply::Line(line()));
+        self.release_if_done(hit);
+    }
+
+    /// Gives a hit its final answer, unless it has one; forwards of it that are not written yet are withdrawn.
+    fn finish(&mut self, hit: u32, reply: impl FnOnce() -> Reply) {
+        let Some(pending) = self.hits.get_mut(hit).filter(|pending| !pending.answered) else { return };
+        pending.answered = true;
+        pending.client.reply(pending.sequence, reply());
+        for (hop, forward) in pending.forwards.iter().enumerate().filter(|(_, forward)| !forward.ended) {
+            if let Some(connection) = &forward.connection {
+                self.nodes.withdraw_forward(connection, ForwardKey { hit, hop: hop as u8 });
+            }
         }
     }
 
@@ -164,7 +174,7 @@
     fn abort_forward(&self, hit: u32, hop: u8, reason: EndReason) {
         let forward = self.hits.get(hit).and_then(|pending| pending.forwards.get(usize::from(hop)));
         if let Some(ForwardState { connection: Some(connection), ended: false, .. }) = forward {
-            self.nodes.abort_forward(connection, hit, hop, reason);
+            self.nodes.abort_forward(connection, ForwardKey { hit, hop }, reason);
         }
     }
 }
@@ -437,11 +447,10 @@
             pending.command.id(),
             latency.as_nanos() / 1_000_000
         );
-        if let (Some(value), false) = (value, pending.answered) {
-            pending.answered = true;
-            pending.client.reply(pending.sequence, Reply::Value(value));
+        if let Some(value) = value {
+            self.host.finish(hit, || Reply::Value(value));
         }
-        let answered = pending.answered;
+        let answered = self.host.hits.get(hit).is_none_or(|pending| pending.answered);
         self.marshal.on_forward_completed(&mut self.host, now, (hit, hop), outcome, answered, latency);
         self.host.release_if_done(hit);
     }
@@ -450,9 +459,8 @@
         let now = self.host.now;
         if let Some(pending) = self.host.hits.get_mut(hit).filter(|pending| !pending.answered) {
             trace!("hit {}: client disconnected", pending.command.id());
-            pending.answered = true;
             // A client that only ended its sending may still read.
-            pending.client.reply(pending.sequence, Reply::Line(command::errored_reply()));
+            self.host.finish(hit, || Reply::Line(command::errored_reply()));
             self.marshal.on_client_left(&mut self.host, now, hit);
             self.host.release_if_done(hit);
         }
--- a/crates/marshal/src/nodes.rs
+++ b/crates/marshal/src/nodes.rs
@@ -12,7 +12,7 @@
 };
 use async_executor::LocalExecutor;
 use std::cell::{Cell, RefCell};
-use std::collections::{HashSet, VecDeque};
+use std::collections::HashSet;
 use std::net::{SocketAddr, TcpStream};
 use std::rc::Rc;
 use std::time::{Duration, Instant};
@@ -22,6 +22,8 @@
 use stonescale_budget::plan::NODE_CONNECTION_BYTES;
 use stonescale_budget::purpose::ReclaimAction;
 use stonescale_budget::{BudgetExceeded, Buffer, Charge, Ledger, Purpose};
+use stonescale_connection::forward_queue::Unfinished;
+use stonescale_connection::{ForwardKey, ForwardQueue, GiveUp};
 use stonescale_formats::resp::{ElementKind, MessageLimits, Scanner};
 use tracing::{debug, info, warn};
 
@@ -47,26 +49,14 @@
 /// Interval of retries to reserve memory for an incoming reply.
 const MEMORY_RETRY_INTERVAL: Duration = Duration::from_millis(10);
 
-/// A forward on a connection whose reply has not been received.
-struct PendingForward {
-    hit: u32,
-    hop: u8,
-    /// Value of the connection's `written_bytes` once this forward is fully written.
-    end_offset: u64,
-    /// Its end has been reported; a reply that still comes is discarded.
-    reported: bool,
-}
-
 /// One connection to a node.
 pub struct NodeConnection {
     opened_at: Time,
     /// `None` once the connection has ended: the descriptor must not stay open while others hold a reference
     /// to this value.
     stream: RefCell<Option<Rc<Async<TcpStream>>>>,
-    pending: RefCell<VecDeque<PendingForward>>,
+    forwards: RefCell<ForwardQueue>,
     write_buffer: RefCell<Buffer>,
-    queued_bytes: Cell<u64>,
-    written_bytes: Cell<u64>,
     /// Accepts no further forwards.
     draining: Cell<bool>,
     /// Why the connection is to be closed, once that was requested.
@@ -78,7 +68,7 @@
 
 impl NodeConnection {
     fn is_idle(&self) -> bool {
-        self.pending.borrow().is_empty()
+        self.forwards.borrow().is_empty()
     }
 
     fn is_reusable(&self, now: Time) -> bool {
@@ -93,11 +83,6 @@
         self.signal.raise();
     }
 
-    /// Whether the forward's last byte has been written.
-    fn is_written(&self, forward: &PendingForward) -> bool {
-        self.written_bytes.get() >= forward.end_offset
-    }
-
     /// Whether no unexpected input is pending and the node has not closed the connection.
     fn is_clean(&self) -> bool {
         self.stream.borrow().as_ref().is_none_or(|stream| is_open_without_input(stream))
@@ -115,7 +100,7 @@
                 None => Ok(0),
             };
             let bytes_written = bytes_written.inspect_err(|reason| self.close(*reason))?;
-            self.written_bytes.set(self.written_bytes.get() + bytes_written as u64);
+            self.forwards.borrow_mut().record_written(bytes_written as u64);
             let fill = |write_buffer: &mut Buffer| {
                 write_buffer.reserve(length - bytes_written)?;
                 let mut to_skip = bytes_written;
@@ -132,11 +117,9 @@
                 }
                 EndReason::NoSocket
             })?;
-            self.queued_bytes.set(self.queued_bytes.get() + length as u64);
+            self.forwards.borrow_mut().push(ForwardKey { hit, hop }, length);
             Ok(())
         })?;
-        let end_offset = self.queued_bytes.get();
-        self.pending.borrow_mut().push_back(PendingForward { hit, hop, end_offset, reported: false });
         if !write_buffer.is_empty() {
             self.signal.raise();
         }
@@ -148,11 +131,40 @@
         let stream = self.stream.borrow();
         let Some(stream) = stream.as_ref() else { return Ok(()) };
         let mut write_buffer = self.write_buffer.borrow_mut();
-        let mut written_bytes = self.written_bytes.get();
-        let result = write_available(stream, &mut write_buffer, &mut written_bytes);
-        self.written_bytes.set(written_bytes);
+        let mut written = 0;
+        let result = write_available(stream, &mut write_buffer, &mut written);
+        self.forwards.borrow_mut().record_written(written);
         result.map(|_| ()).map_err(|_| EndReason::Broken)
     }
+
+    /// Gives up a forward, with what of it is unsent.
+    fn give_up(&self, key: ForwardKey) -> GiveUp {
+        let given_up = self.forwards.borrow_mut().give_up(key);
+        let mut write_buffer = self.write_buffer.borrow_mut();
+        match &given_up {
+            GiveUp::Withdrawn(range) => write_buffer.remove(range.clone()),
+            GiveUp::CutOff(_) => {
+                let unsent = write_buffer.len();
+                write_buffer.consume(unsent, 0);
+                self.draining.set(true);
+            }
+            // A further forward would wait behind a reply that may never come.
+            GiveUp::Written => self.draining.set(true),
+            GiveUp::Unknown => {}
+        }
+        given_up
+    }
+
+    /// Withdraws the forwards of which nothing is written.
+    fn withdraw_unwritten(&self) -> Vec<ForwardKey> {
+        let (mut forwards, mut write_buffer) = (self.forwards.borrow_mut(), self.write_buffer.borrow_mut());
+        let mut withdrawn = Vec::new();
+        while let Some((key, range)) = forwards.withdraw_last() {
+            write_buffer.remove(range);
+            withdrawn.push(key);
+        }
+        withdrawn
+    }
 }
 
 /// Address of a node and the connections to it.
@@ -216,7 +228,7 @@
         }
         let connections = self.nodes[node].take().map_or(Vec::new(), |previous| {
             if previous.addr != addr {
-                previous.connections.iter().for_each(|c| Self::drain(c, EndReason::Withdrawn));
+                previous.connections.iter().for_each(|c| self.drain(c, EndReason::Withdrawn));
                 Vec::new()
             } else {
                 previous.connections
@@ -224,7 +236,7 @@
         });
         for connection in &connections {
             if readiness != Readiness::Ready {
-                Self::drain(connection, EndReason::Withdrawn);
+                self.drain(connection, EndReason::Withdrawn);
             } else if connection.opened_at < started_at {
                 // The process it was opened to is gone, even if the host sent no reset.
                 connection.close(EndReason::Restarted);
@@ -234,20 +246,33 @@
         self.nodes[node] = Some(NodeState { addr, removed_at, connections });
     }
 
-    /// Accepts no further forwards; replies to those already written are still awaited.
-    fn drain(connection: &NodeConnection, reason: EndReason) {
+    /// Accepts no further forwards and withdraws those of which nothing is written; replies to the others are still
+    /// awaited.
+    fn drain(&self, connection: &NodeConnection, reason: EndReason) {
         connection.draining.set(true);
-        if connection.written_bytes.get() == 0 || connection.is_idle() {
+        self.report_unsent(connection.withdraw_unwritten(), reason);
+        if connection.is_idle() {
             connection.close(reason);
         }
     }
 
+    fn report_unsent(&self, forwards: Vec<ForwardKey>, reason: EndReason) {
+        for ForwardKey { hit, hop } in forwards {
+            self.inbox.push_forward_end(hit, hop, reason, false);
+        }
+    }
+
     /// Marks nodes left out of a full list as removed.
     pub fn remove_unlisted(&mut self, listed: &HashSet<usize>) {
+        let now = self.clock.now();
         for (number, state) in self.nodes.iter_mut().enumerate() {
             if let Some(state) = state.as_mut().filter(|_| !listed.contains(&number)) {
-                state.removed_at = state.removed_at.or(Some(self.clock.now()));
-                state.connections.iter().for_each(|c| Self::drain(c, EndReason::Withdrawn));
+                state.removed_at = state.removed_at.or(Some(now));
+            }
+        }
+        for (number, state) in self.nodes.iter().enumerate() {
+            if let Some(state) = state.as_ref().filter(|_| !listed.contains(&number)) {
+                state.connections.iter().for_each(|c| self.drain(c, EndReason::Withdrawn));
             }
         }
     }
@@ -286,8 +311,8 @@
         let connecting = state.connections.iter().any(|c| !c.draining.get() && c.stream.borrow().is_none());
         if connecting || self.open_connections.get() >= self.max_connections {
             let shared = state.connections.iter().filter(|c| !c.draining.get() && !c.is_idle());
-            let shared = shared.filter(|c| c.pending.borrow().len() < self.max_pipelined);
-            if let Some(connection) = shared.min_by_key(|c| c.pending.borrow().len()).cloned() {
+            let shared = shared.filter(|c| c.forwards.borrow().len() < self.max_pipelined);
+            if let Some(connection) = shared.min_by_key(|c| c.forwards.borrow().len()).cloned() {
                 // A node that does not read must not use up the memory for queued bytes that all nodes share.
                 let charged_bytes: usize =
                     state.connections.iter().map(|c| c.write_buffer.borrow().charged_bytes()).sum();
@@ -309,10 +334,8 @@
         let connection = Rc::new(NodeConnection {
             opened_at: now,
             stream: RefCell::default(),
-            pending: RefCell::default(),
+            forwards: RefCell::default(),
             write_buffer: RefCell::new(Buffer::new(&self.ledger, Purpose::NodeConnections)),
-            queued_bytes: Cell::new(0),
-            written_bytes: Cell::new(0),
             draining: Cell::new(false),
             close_reason: Cell::new(None),
             last_used: Cell::new(now),
@@ -336,22 +359,31 @@
         Ok(connection)
     }
 
-    /// Stops waiting for a forward. Its connection takes no further forwards, and is closed unless other
-    /// forwards are still pending on it.
-    pub fn abort_forward(&self, connection: &NodeConnection, hit: u32, hop: u8, reason: EndReason) {
-        let mut pending = connection.pending.borrow_mut();
-        let Some(forward) = pending.iter_mut().find(|f| (f.hit, f.hop) == (hit, hop) && !f.reported) else {
-            return;
+    /// Stops waiting for a forward. One that is not fully written never reaches its node; the connection of one that is
+    /// takes no further forwards. The connection is closed unless it is established and of use, or other forwards are
+    /// pending on it.
+    pub fn abort_forward(&self, connection: &NodeConnection, key: ForwardKey, reason: EndReason) {
+        let given_up = connection.give_up(key);
+        let sent = match given_up {
+            GiveUp::Unknown => return,
+            GiveUp::Written => true,
+            GiveUp::Withdrawn(_) | GiveUp::CutOff(_) => false,
         };
-        forward.reported = true;
-        let sent = connection.is_written(forward);
-        let all_reported = pending.iter().all(|f| f.reported);
-        drop(pending);
-        connection.draining.set(true);
-        if all_reported {
+        if let GiveUp::CutOff(behind) = given_up {
+            self.report_unsent(behind, EndReason::Withdrawn);
+        }
+        let is_usable = !connection.draining.get() && connection.stream.borrow().is_some();
+        if !is_usable && connection.forwards.borrow().is_all_reported() {
             connection.close(reason);
         }
-        self.inbox.push_forward_end(hit, hop, reason, sent);
+        self.inbox.push_forward_end(key.hit, key.hop, reason, sent);
+    }
+
+    /// Stops a forward that is not fully written; one that is written goes on.
+    pub fn withdraw_forward(&self, connection: &NodeConnection, key: ForwardKey) {
+        if connection.forwards.borrow().is_unfinished(key) {
+            self.abort_forward(connection, key, EndReason::CalledOff);
+        }
     }
 
     /// Closes connections idle for too long: otherwise the node would, and a hit sent at that moment could be
@@ -427,13 +459,12 @@
         self.connection.close(reason);
         self.connection.stream.take();
         self.open_connections.set(self.open_connections.get() - 1);
-        let pending = std::mem::take(&mut *self.connection.pending.borrow_mut());
-        if !pending.is_empty() {
-            debug!("connection to {addr} ended with {} forwards: {reason:?}", pending.len());
+        let unfinished = self.connection.forwards.borrow_mut().take_unfinished();
+        if !unfinished.is_empty() {
+            debug!("connection to {addr} ended with {} forwards: {reason:?}", unfinished.len());
         }
-        for forward in pending.into_iter().filter(|f| !f.reported) {
-            let sent = self.connection.is_written(&forward);
-            self.inbox.push_forward_end(forward.hit, forward.hop, reason, sent);
+        for Unfinished { key: ForwardKey { hit, hop }, written } in unfinished {
+            self.inbox.push_forward_end(hit, hop, reason, written);
         }
     }
 
@@ -536,17 +567,15 @@
                 warn!("node rejected a forward as malformed");
             }
             let encoded_range = first.encoded.clone();
-            let mut pending = self.connection.pending.borrow_mut();
-            let forward =
-                pending.pop_front_if(|f| self.connection.is_written(f)).ok_or("no forward is pending")?;
-            drop(pending);
+            let replied = self.connection.forwards.borrow_mut().take_replied();
+            let forward = replied.ok_or("no forward is pending")?;
             let keep_value = !forward.reported && reason == EndReason::Served;
             let value = keep_value.then(|| received.take_block(length, Purpose::NodeReplies));
             if !matches!(value, Some(Ok(_))) {
                 received.consume(length, MIN_CAPACITY_BYTES);
             }
             if !forward.reported {
-                let (hit, hop, sent) = (forward.hit, forward.hop, true);
+                let (ForwardKey { hit, hop }, sent) = (forward.key, true);
                 let (reason, value) = match value {
                     None => (reason, None),
                     Some(Ok(mut block)) => {
