Hits: an id that is open, or that may have run, is not forwarded again

Cause: the marshal compared no ids. Each command became a hit of its own, whatever its id.

Change: crates/connection keeps the ids in use (hit_ids): those of open hits, and for 60 s those of ended hits that may not run again and may have run. A hit with such an id gets '-ERR id is in use', which promises nothing; a bounce would say that it never ran. A hit that never ran (bounced, or rejected by its nodes) frees its id at once. The record is bounded by the memory limit (one id for each 16 KiB of it), the oldest go first; ids are hashed with a key of the process.

Limits: each marshal knows its own ids only, and forgets them at a restart; more than the bound within 60 s forgets the oldest.

--- a/crates/marshal/src/command.rs
+++ b/crates/marshal/src/command.rs
@@ -33,6 +33,8 @@
     pub key: u64,
     /// How long the client waits for the reply.
     pub client_wait: Span,
+    /// Whether the hit may run more than once.
+    pub repeatable: bool,
     /// Range of the id assigned by the client.
     id_range: Range<usize>,
 }
@@ -48,7 +50,12 @@
 impl Command {
     /// The id by which clients, marshals and nodes know the hit.
     pub fn id(&self) -> std::borrow::Cow<'_, str> {
-        String::from_utf8_lossy(&self.block.as_slice()[self.request.id_range.clone()])
+        String::from_utf8_lossy(self.id_bytes())
+    }
+
+    /// The id as received.
+    pub fn id_bytes(&self) -> &[u8] {
+        &self.block.as_slice()[self.request.id_range.clone()]
     }
 
     /// Passes the command to `write` as slices, with `wait` in place of the wait that the client stated.
@@ -107,8 +114,7 @@
         _ => return Err("unknown command".into()),
     };
     let request = parse_attributes(bytes, elements, names)?;
-    let effect = names.groups[request.group].effect;
-    if repeatable != (effect == Effect::Repeatable) {
+    if repeatable != request.repeatable {
         return Err(format!("{name} does not serve the class in c"));
     }
     Ok(Request::Hit(request))
@@ -163,6 +169,7 @@
         tenant,
         key: key_to_u64(argument(1)),
         client_wait: Span::millis(wait_ms),
+        repeatable: names.groups[group].effect == Effect::Repeatable,
     })
 }
 
--- a/crates/marshal/src/core.rs
+++ b/crates/marshal/src/core.rs
@@ -21,7 +21,7 @@
 use stonescale_budget::plan::NODE_RECORD_BYTES;
 use stonescale_budget::purpose::ReclaimAction;
 use stonescale_budget::{Charge, Ledger, Purpose};
-use stonescale_connection::ForwardKey;
+use stonescale_connection::{ForwardKey, HitId, HitIds};
 use stonescale_store::{Slots, TimerHandle, TimerWheel};
 use tracing::{debug, info, trace, warn};
 
@@ -40,10 +40,13 @@
 
 /// A hit whose reply, or the end of one of whose forwards, is still outstanding.
 struct PendingHit {
+    id: HitId,
     client: Rc<Client>,
     sequence: u64,
     command: Command,
     answered: bool,
+    /// A forward of it ended, and may have run.
+    may_have_run: bool,
     forwards: Vec<ForwardState>,
     /// Timers of the decision module, cancelled with the hit: a client that may wait for minutes is often
     /// answered at once, and its timers would otherwise accumulate.
@@ -67,6 +70,7 @@
     now: Time,
     timers: TimerWheel<TimerEvent>,
     hits: Slots<PendingHit>,
+    hit_ids: HitIds,
     hits_received: u64,
     ledger: Ledger,
     /// Node numbers by listed id, with the memory charge of each node's records.
@@ -85,7 +89,7 @@
     /// Creates a host that knows no nodes yet; [`Core::apply_node_list`] adds them.
     pub fn new(
         clock: Clock, ledger: Ledger, inbox: Rc<Inbox>, nodes: NodePool, discovery: Discovery,
-        platform: Rc<Platform>,
+        platform: Rc<Platform>, hit_ids: HitIds,
     ) -> Self {
         let (now, node_numbers, free_numbers) = (clock.now(), HashMap::new(), Vec::new());
         MarshalHost {
@@ -93,6 +97,7 @@
             now,
             timers: TimerWheel::new(now),
             hits: Slots::default(),
+            hit_ids,
             hits_received: 0,
             ledger,
             node_numbers,
@@ -164,8 +169,11 @@
             .get(hit)
             .is_some_and(|pending| pending.answered && pending.forwards.iter().all(|f| f.ended))
         {
-            let handles = self.hits.remove(hit).map(|pending| [pending.deadline_timer, pending.hedge_timer]);
-            for handle in handles.into_iter().flatten().flatten() {
+            let Some(pending) = self.hits.remove(hit) else { return };
+            let may_not_run_again = pending.may_have_run && !pending.command.request.repeatable;
+            self.hit_ids.end(pending.id, may_not_run_again, self.now);
+            let handles = [pending.deadline_timer, pending.hedge_timer];
+            for handle in handles.into_iter().flatten() {
                 self.timers.cancel(handle);
             }
         }
@@ -408,6 +416,10 @@
         #[cfg(feature = "mutants")]
         crate::mutants::leak_on_hit();
         let now = self.host.now;
+        let Ok(id) = self.host.hit_ids.open(command.id_bytes(), now) else {
+            debug!("client {} sent hit {} again: its id is in use", client.number, command.id());
+            return client.reply(sequence, Reply::Line(command::error_reply("id is in use")));
+        };
         self.host.hits_received += 1;
         let (group, tenant, key) = (command.request.group, command.request.tenant, command.request.key);
         // The client's wait runs from the hit's arrival; time spent in this program's queues counts against
@@ -421,10 +433,12 @@
         let forwards = Vec::new();
         let (hit_client, answered, deadline_timer, hedge_timer) = (client.clone(), false, None, None);
         let hit = self.host.hits.insert(PendingHit {
+            id,
             client,
             sequence,
             command,
             answered,
+            may_have_run: false,
             forwards,
             deadline_timer,
             hedge_timer,
@@ -442,6 +456,7 @@
             self.host.timers.cancel(timeout_timer);
         }
         let (outcome, latency) = (reason.outcome(sent), now - forward.sent_at);
+        pending.may_have_run |= !outcome.proves_never_run();
         trace!(
             "hit {} forward {hop}: {reason:?} after {} ms",
             pending.command.id(),
--- a/crates/marshal/src/serve.rs
+++ b/crates/marshal/src/serve.rs
@@ -26,12 +26,15 @@
 use stonescale::host::{Host, ListUpdate};
 use stonescale::time::Span;
 use stonescale_budget::{Ledger, Plan, Purpose};
+use stonescale_connection::HitIds;
 use stonescale_operator::{EffectiveSetting, OperatorSettings};
 use tracing::{error, info, warn};
 
 /// After SIGTERM clients may still connect for 0.4 s by the protocol page; serving continues unchanged for
 /// this long.
 const SHUTDOWN_ACCEPT_PERIOD: Duration = Duration::from_millis(550);
+/// The memory limit divided by this is the number of ids of ended hits that are remembered, some 100 bytes each.
+const MEMORY_PER_ENDED_ID: usize = 16 * 1024;
 /// Interval of checks for changed memory levels.
 const LEVEL_CHECK_INTERVAL: Duration = Duration::from_millis(250);
 /// Interval of checks during shutdown whether all clients have disconnected.
@@ -111,7 +114,7 @@
         logger::start(files.log, operator.log.format, lines_per_second, plan.account(Purpose::Log).reserve);
     info!("{summary}");
     let (_, listen, discovery_addr) = startup::identity(&root)?;
-    let (max_clients, max_node_connections, _) = startup::limits(&root)?;
+    let (max_clients, max_node_connections, memory_bytes) = startup::limits(&root)?;
     let (platform_addr, build_status) = startup::platform(&root)?;
     let newest_build = platform::parse_stage(build_status)?;
     let seed = startup::seed(&root)?;
@@ -153,7 +156,15 @@
         Platform::new(inbox.clone(), executor.clone(), call_timeout, groups.clone(), seed, ledger.clone());
     platform.set_address(addresses.1);
 
-    let mut host = MarshalHost::new(clock, ledger.clone(), inbox.clone(), nodes, discovery, platform);
+    let mut host = MarshalHost::new(
+        clock,
+        ledger.clone(),
+        inbox.clone(),
+        nodes,
+        discovery,
+        platform,
+        HitIds::new(memory_bytes / MEMORY_PER_ENDED_ID),
+    );
     let marshal = stonescale_site::start_marshal(settings, seed, clock.now(), &mut host)?;
     if !list_by_request {
         // Where list changes are pushed without a request, the watch receives them.
--- a/src/host.rs
+++ b/src/host.rs
@@ -90,6 +90,13 @@
     Unsent,
 }
 
+impl ForwardOutcome {
+    /// Whether the hit is known not to have run by this forward.
+    pub fn proves_never_run(self) -> bool {
+        matches!(self, ForwardOutcome::Rejected | ForwardOutcome::Unreached | ForwardOutcome::Unsent)
+    }
+}
+
 /// Whether a listed node takes forwards: none once it is gone, no new ones while it drains.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Readiness {
--- a/src/policy.rs
+++ b/src/policy.rs
@@ -994,8 +994,7 @@
         let unanswered =
             matches!(outcome, ForwardOutcome::TimedOut | ForwardOutcome::Reset | ForwardOutcome::Cancelled);
         let uninformative =
-            matches!(outcome, ForwardOutcome::Rejected | ForwardOutcome::Unreached | ForwardOutcome::Unsent)
-                || (unanswered && node.unanswered_since.is_some_and(|t| t <= sent_at));
+            outcome.proves_never_run() || (unanswered && node.unanswered_since.is_some_and(|t| t <= sent_at));
         let early = younger_than(IGNORED_WARM_UP_SHARE) || (younger_than(1.0) && (late || unanswered));
         if node.build != build
             || probe
--- a/src/state.rs
+++ b/src/state.rs
@@ -112,10 +112,7 @@
 impl Forward {
     /// Its outcome proves that it had no effect; false while it is in flight.
     pub fn never_ran(&self) -> bool {
-        matches!(
-            self.outcome,
-            Some(ForwardOutcome::Rejected | ForwardOutcome::Unreached | ForwardOutcome::Unsent)
-        )
+        self.outcome.is_some_and(ForwardOutcome::proves_never_run)
     }
 }
 
