Commands: ids that can't be used, doubled attributes and endless lists get an error

Callers saw: requests that were not sound were forwarded and, by lenient nodes, served: an empty id, one of any length or with line breaks, an attribute given twice (the marshal took the last, a node may take the first, so that a class that may not be repeated could be handled as one that may).

Cause: parse_attributes looked at known attributes only, took each as often as it came, and never at the id.

Change: an id has 1 to 64 printable characters; c, t, d and k stand once; a list has up to 64 items, so that a list of thousands of short fields costs no more time than a short one.

--- a/crates/marshal/src/command.rs
+++ b/crates/marshal/src/command.rs
@@ -18,6 +18,10 @@
 };
 /// Longest wait that a client may state, in milliseconds.
 const MAX_WAIT_MS: u64 = 600_000;
+/// Longest id; the protocol's have 16 characters.
+const MAX_ID_BYTES: usize = 64;
+/// Most items of an attribute list.
+const MAX_ATTRIBUTES: usize = 64;
 
 /// The parsed arguments of a hit's command, with the positions of those needed for forwarding.
 pub struct HitRequest {
@@ -120,56 +124,98 @@
     Ok(Request::Hit(request))
 }
 
-/// Parses the attribute list, the third argument: `c` the class (path group), `t` the tenant, `d` the wait in
-/// milliseconds, `k` the tag by which nodes drop repeats; others are ignored. Works also on a command whose body
-/// has not been received.
-pub fn parse_attributes(bytes: &[u8], elements: &[Element], names: &WireNames) -> Result<HitRequest, String> {
-    let argument = |index: usize| elements.get(index).map(|e| &bytes[e.payload.clone()]).unwrap_or_default();
-    let attributes = elements.get(3).ok_or("attribute list is missing")?;
-    let (mut group, mut tenant, mut wait_field, mut tagged) = (None, None, None, false);
-    let mut start = attributes.payload.start;
-    for item in argument(3).split(|b| *b == b',') {
-        let (item_start, separator) = (start, item.iter().position(|b| *b == b'=').unwrap_or(item.len()));
-        start += item.len() + 1;
-        let value = item.get(separator + 1..).unwrap_or_default();
+/// The attributes of a hit that have been read so far; each may stand in the list once.
+#[derive(Default)]
+struct Attributes {
+    group: Option<usize>,
+    tenant: Option<usize>,
+    /// The wait in milliseconds, and its range within the command.
+    wait: Option<(u64, Range<usize>)>,
+    tagged: bool,
+}
+
+impl Attributes {
+    /// Reads an item `name=value` whose value stands at `value_range` of the command; unknown names are ignored.
+    fn read(
+        &mut self, name: &[u8], value: &[u8], value_range: Range<usize>, names: &WireNames,
+    ) -> Result<(), &'static str> {
         let text = String::from_utf8_lossy(value);
-        match &item[..separator] {
+        match name {
+            b"c" if self.group.is_some() => return Err("c is repeated"),
             b"c" => {
-                group = Some(names.groups.iter().position(|g| g.name == text).ok_or("unknown class in c")?)
+                let group = names.groups.iter().position(|g| g.name == text);
+                self.group = Some(group.ok_or("unknown class in c")?);
             }
             b"t" if names.tenants.is_empty() => {}
+            b"t" if self.tenant.is_some() => return Err("t is repeated"),
             b"t" => {
-                tenant = Some(names.tenants.iter().position(|t| *t == text).ok_or("unknown tenant in t")?)
+                let tenant = names.tenants.iter().position(|t| *t == text);
+                self.tenant = Some(tenant.ok_or("unknown tenant in t")?);
             }
+            b"d" if self.wait.is_some() => return Err("d is repeated"),
             b"d" => {
                 let all_digits = value.iter().all(u8::is_ascii_digit);
                 let ms = text.parse().ok().filter(|ms| all_digits && *ms <= MAX_WAIT_MS);
-                wait_field = Some((
-                    ms.ok_or("d is not a wait in milliseconds")?,
-                    item_start + separator + 1..item_start + item.len(),
-                ));
+                self.wait = Some((ms.ok_or("d is not a wait in milliseconds")?, value_range));
             }
-            b"k" if value.is_empty() => return Err("k is empty".into()),
-            b"k" => tagged = true,
+            b"k" if self.tagged => return Err("k is repeated"),
+            b"k" if value.is_empty() => return Err("k is empty"),
+            b"k" => self.tagged = true,
             _ => {}
         }
+        Ok(())
+    }
+}
+
+/// Checks the id that the client gave a hit: nodes and logs know the hit by it.
+fn check_id(id: &[u8]) -> Result<(), &'static str> {
+    if id.is_empty() {
+        Err("id is empty")
+    } else if id.len() > MAX_ID_BYTES {
+        Err("id is too long")
+    } else if !id.iter().all(u8::is_ascii_graphic) {
+        Err("id has characters that are not printable")
+    } else {
+        Ok(())
+    }
+}
+
+/// Parses the id and the attribute list, the second and third argument: `c` the class (path group), `t` the tenant, `d`
+/// the wait in milliseconds, `k` the tag by which nodes drop repeats; others are ignored. Works also on a command whose
+/// body has not been received.
+pub fn parse_attributes(bytes: &[u8], elements: &[Element], names: &WireNames) -> Result<HitRequest, String> {
+    let argument = |index: usize| elements.get(index).map(|e| &bytes[e.payload.clone()]).unwrap_or_default();
+    let list = elements.get(3).ok_or("attribute list is missing")?;
+    check_id(argument(2))?;
+    let mut attributes = Attributes::default();
+    let mut start = list.payload.start;
+    for (index, item) in argument(3).split(|b| *b == b',').enumerate() {
+        if index == MAX_ATTRIBUTES {
+            return Err("too many attributes".into());
+        }
+        let separator = item.iter().position(|b| *b == b'=').unwrap_or(item.len());
+        let value_start = (separator + 1).min(item.len());
+        let value_range = start + value_start..start + item.len();
+        attributes.read(&item[..separator], &item[value_start..], value_range, names)?;
+        start += item.len() + 1;
     }
+    let Attributes { group, tenant, wait, tagged } = attributes;
     let group = group.ok_or("c is missing")?;
-    let (wait_ms, wait_range) = wait_field.ok_or("d is missing")?;
+    let (wait_ms, wait_range) = wait.ok_or("d is missing")?;
     let tenant = if names.tenants.is_empty() { 0 } else { tenant.ok_or("t is missing")? };
-    if matches!(names.groups[group].effect, Effect::Tagged { .. }) && !tagged {
+    let effect = names.groups[group].effect;
+    if matches!(effect, Effect::Tagged { .. }) && !tagged {
         return Err("k is missing".into());
     }
-    let id_range = elements.get(2).map_or(0..0, |p| p.payload.clone());
     Ok(HitRequest {
-        id_range,
-        attributes: attributes.clone(),
+        id_range: elements.get(2).map_or(0..0, |p| p.payload.clone()),
+        attributes: list.clone(),
         wait_range,
         group,
         tenant,
         key: key_to_u64(argument(1)),
         client_wait: Span::millis(wait_ms),
-        repeatable: names.groups[group].effect == Effect::Repeatable,
+        repeatable: effect == Effect::Repeatable,
     })
 }
 
