Reactor: check the sockets after half a millisecond of tasks, not after 256 of them

Cause: a task that is always ready gets its turn again and again among the 256 polls between two looks at the sockets; each turn of such a client took up to half a kilobyte of commands, with a write for each. A hit needs three looks or more.

Change: tasks are polled for half a millisecond at most before the sockets are checked.

--- a/crates/marshal/src/reactor.rs
+++ b/crates/marshal/src/reactor.rs
@@ -18,8 +18,11 @@
 
 /// Events taken from the kernel in one call.
 const MAX_EVENTS: usize = 512;
-/// Tasks polled before the sockets are checked again.
+/// Tasks polled before the sockets are checked again, and the time for which they are.
 const MAX_TASK_POLLS: usize = 256;
+const MAX_POLL_TIME: Duration = Duration::from_micros(500);
+/// Tasks polled between two readings of the clock.
+const POLLS_PER_CLOCK_READING: usize = 4;
 /// Longest wait for an event; correctness does not depend on it.
 const MAX_WAIT: Duration = Duration::from_secs(1);
 
@@ -267,12 +270,27 @@
     Ok(())
 }
 
+/// Polls tasks that are ready, for a limited time: a few tasks that are always ready must not keep the others from their
+/// sockets. Returns true if more may be ready.
+fn poll_tasks(executor: &LocalExecutor<'static>) -> bool {
+    let start = Instant::now();
+    for polls in 1..=MAX_TASK_POLLS {
+        if !executor.try_tick() {
+            return false;
+        }
+        if polls.is_multiple_of(POLLS_PER_CLOCK_READING) && start.elapsed() >= MAX_POLL_TIME {
+            break;
+        }
+    }
+    true
+}
+
 /// Runs all tasks on this thread until `main` has finished. An error is that of epoll.
 pub fn run(executor: &LocalExecutor<'static>, main: impl Future<Output = ()> + 'static) -> io::Result<()> {
     let main = executor.spawn(main);
     let (mut events, mut woken) = (Vec::with_capacity(MAX_EVENTS), Vec::new());
     while !main.is_finished() {
-        let busy = (0..MAX_TASK_POLLS).take_while(|_| executor.try_tick()).count() == MAX_TASK_POLLS;
+        let busy = poll_tasks(executor);
         wait_for_events(
             &mut events,
             &mut woken,
