Clients: in a crowd, connections that are of no use make room first

Cause: a connection in the middle of a command counted as idle. close_idle marked the same sixteen every 10 ms, the connection's task did not close them, and as the number marked was not zero, no other connection was closed either; each stayed for 2.5 s. A large command without memory, discarded as it arrived, counted as a pending hit and kept its connection from being closed.

Change: when all connections are in use, those that never sent a hit for 0.1 s, or are in the middle of a command for that long, are closed first, the longest so first; then idle ones; then the longest connected, as before. A connection in the middle of a command is not idle. A discarded command takes its place among the replies when all of it has come.

--- a/crates/budget/src/eviction.rs
+++ b/crates/budget/src/eviction.rs
@@ -15,6 +15,10 @@
     pub accepted_at: Time,
     /// Number of commands received on it.
     pub commands: u64,
+    /// A hit was accepted on it.
+    pub has_sent_hit: bool,
+    /// Since when a command has been received in part, if one has.
+    pub receiving_since: Option<Time>,
     /// It has commands that are not answered, or replies that wait for earlier ones.
     pub has_pending_hits: bool,
     /// It is being closed already.
@@ -26,9 +30,15 @@
         now - self.last_activity
     }
 
-    /// It has no pending hit and no unsent reply, and is not being closed.
+    /// It has no pending hit, no unsent reply and no incomplete command, and is not being closed.
     fn is_idle(&self) -> bool {
-        !self.has_pending_hits && !self.closing && self.unsent_bytes == 0
+        !self.has_pending_hits && !self.closing && self.unsent_bytes == 0 && self.receiving_since.is_none()
+    }
+
+    /// Since when it has occupied a connection without use: since it was accepted if it never sent a hit, else since its
+    /// incomplete command began.
+    fn unproductive_since(&self) -> Option<Time> {
+        if self.has_sent_hit { self.receiving_since } else { Some(self.accepted_at) }
     }
 }
 
@@ -50,6 +60,21 @@
     selected
 }
 
+/// Selects at most `max_count` connections that have been unproductive for `min_time`, those that were it for longest
+/// first: they never sent a hit, or are in the middle of a command. A connection with pending hits is not selected.
+pub fn select_unproductive(
+    clients: &[ClientState], now: Time, min_time: Span, max_count: usize,
+) -> Vec<usize> {
+    let unproductive = |c: &ClientState| {
+        let long_enough = c.unproductive_since().is_some_and(|since| now - since >= min_time);
+        long_enough && !c.closing && !c.has_pending_hits
+    };
+    let mut selected = matching_indices(clients, unproductive);
+    selected.sort_by_key(|index| clients[*index].unproductive_since());
+    selected.truncate(max_count);
+    selected
+}
+
 /// Selects connections that have accepted none of their unsent reply bytes for `stall_timeout`, the one with the most
 /// unsent bytes first, until `bytes` are freed. A client that reads slowly is not selected, as it is active.
 pub fn select_stalled(clients: &[ClientState], now: Time, stall_timeout: Span, bytes: usize) -> Vec<usize> {
--- a/crates/budget/tests/ledger.rs
+++ b/crates/budget/tests/ledger.rs
@@ -309,11 +309,40 @@
         last_activity,
         accepted_at: last_activity,
         commands,
+        has_sent_hit: commands > 0,
+        receiving_since: None,
         has_pending_hits,
         closing: false,
     }
 }
 
+#[test]
+fn unproductive_connections_are_selected_before_their_command_is_complete() {
+    let now = Time::at(100_000_000_000);
+    let receiving = |ms| eviction::ClientState {
+        receiving_since: Some(now - Span::millis(ms)),
+        ..client(0, 900, 2, false)
+    };
+    let only_unsound_commands = eviction::ClientState { has_sent_hit: false, ..client(0, 700, 90, false) };
+    let clients = [
+        receiving(100),
+        receiving(300),
+        only_unsound_commands,
+        client(0, 900, 2, false),
+        client(0, 500, 0, false),
+        client(0, 900, 1, true),
+    ];
+    assert_eq!(eviction::select_unproductive(&clients, now, Span::millis(200), 16), [2, 4, 1]);
+    assert_eq!(eviction::select_unproductive(&clients, now, Span::millis(200), 1), [2]);
+}
+
+#[test]
+fn a_connection_in_the_middle_of_a_command_is_not_idle() {
+    let now = Time::at(100_000_000_000);
+    let receiving = eviction::ClientState { receiving_since: Some(now), ..client(0, 9_000, 1, false) };
+    assert_eq!(eviction::select_idle(&[receiving], now, (Span::ZERO, Span::ZERO), 16), []);
+}
+
 #[test]
 fn idle_connections_with_one_command_time_out_sooner_and_none_with_pending_hits_is_selected() {
     let clients = [
--- a/crates/marshal/src/client.rs
+++ b/crates/marshal/src/client.rs
@@ -64,10 +64,16 @@
     last_activity: Cell<Time>,
     /// Whether a complete command was received on it.
     pub has_sent_command: Cell<bool>,
+    /// Whether a hit was accepted on it.
+    pub has_sent_hit: Cell<bool>,
+    /// Since when a command has been received in part, if one has.
+    pub receiving_since: Cell<Option<Time>>,
     /// The connection has ended.
     pub closed: Cell<bool>,
     /// Its descriptor is needed for other clients: its task closes it if it is still idle then.
     pub evict_if_idle: Cell<bool>,
+    /// Its descriptor is needed for other clients, and it is of no use: to be closed at once.
+    pub evict_unproductive: Cell<bool>,
     /// To be closed as soon as all commands are answered; no further hits are accepted.
     pub closing: Cell<bool>,
     /// The client has ended its sending or its connection has failed: nothing more is forwarded for it.
@@ -95,8 +101,11 @@
             accepted_at: now,
             last_activity: Cell::new(now),
             has_sent_command: Cell::new(false),
+            has_sent_hit: Cell::new(false),
+            receiving_since: Cell::new(None),
             closed: Cell::new(false),
             evict_if_idle: Cell::new(false),
+            evict_unproductive: Cell::new(false),
             closing: Cell::new(false),
             departed: Cell::new(false),
             aborted: Cell::new(false),
@@ -330,7 +339,12 @@
             accepted_at: self.accepted_at,
             commands: commands.as_deref().map_or(0, ReplyQueue::commands),
             has_pending_hits: commands.as_deref().is_none_or(|commands| !commands.is_empty()),
-            closing: self.closed.get() || self.aborted.get() || self.closing.get(),
+            has_sent_hit: self.has_sent_hit.get(),
+            receiving_since: self.receiving_since.get(),
+            closing: self.closed.get()
+                || self.aborted.get()
+                || self.closing.get()
+                || self.evict_unproductive.get(),
         }
     }
 }
@@ -389,6 +403,19 @@
         still_idle.len()
     }
 
+    /// Closes up to `max_count` connections that have been unproductive for `min_time`, to make room for others. Returns
+    /// their number.
+    pub fn close_unproductive(&self, min_time: Span, max_count: usize) -> usize {
+        let clients = self.connected();
+        let states: Vec<_> = clients.iter().map(|c| c.eviction_state()).collect();
+        let selected = eviction::select_unproductive(&states, self.clock.now(), min_time, max_count);
+        for index in &selected {
+            clients[*index].evict_unproductive.set(true);
+            clients[*index].signal.raise();
+        }
+        selected.len()
+    }
+
     /// Reclaims memory as the current levels of its purposes require; `idle_timeouts` as for `close_idle`,
     /// `max_count` for one call.
     pub fn reclaim(&self, idle_timeouts: (Span, Span), max_count: usize) {
--- a/crates/marshal/src/client_task.rs
+++ b/crates/marshal/src/client_task.rs
@@ -39,6 +39,8 @@
     Idle,
     /// Idle, and its descriptor or memory is needed.
     Evicted,
+    /// It never sent a hit or is in the middle of a command, and its descriptor is needed.
+    Unproductive,
     /// It was to be closed once its commands were answered.
     Drained,
     /// The input can't be read any further; the text says why.
@@ -58,8 +60,6 @@
 /// A command being discarded as it arrives.
 struct SkippedCommand {
     remaining_bytes: usize,
-    /// Its place among the replies; `None` for one that is refused because the commands in progress are at their limit.
-    sequence: Option<u64>,
     reply: Vec<u8>,
 }
 
@@ -104,11 +104,13 @@
     /// Serves the connection until it ends, and gives up its unanswered hits.
     pub async fn run(mut self) {
         let reason = self.read_commands().await;
-        if let CloseReason::ProtocolError(_) = reason {
-            self.linger().await;
-        } else if reason == CloseReason::Drained {
+        match reason {
+            CloseReason::ProtocolError(_) => self.linger().await,
             // Unread input makes closing a reset: the client should see the end of its replies first.
-            let _ = self.stream.get_ref().shutdown(Shutdown::Write);
+            CloseReason::Drained | CloseReason::Unproductive => {
+                let _ = self.stream.get_ref().shutdown(Shutdown::Write);
+            }
+            _ => {}
         }
         #[cfg(feature = "mutants")]
         crate::mutants::leak_on_connection(self.stream.clone());
@@ -154,6 +156,7 @@
     async fn read_commands(&mut self) -> CloseReason {
         loop {
             self.dispatch_turn();
+            self.record_receiving();
             if self.client.is_aborted() || self.client.flush().is_err() {
                 return CloseReason::Aborted;
             }
@@ -181,6 +184,16 @@
         }
     }
 
+    /// Records since when a command has been received in part.
+    fn record_receiving(&self) {
+        let since = match self.client.receiving_since.get() {
+            _ if !self.is_mid_command() => None,
+            Some(since) => Some(since),
+            None => Some(self.server.registry.clock.now()),
+        };
+        self.client.receiving_since.set(since);
+    }
+
     /// Dispatches what has been received, and notices a command that is not completed in time.
     fn dispatch_turn(&mut self) {
         self.has_more = false;
@@ -219,6 +232,9 @@
         if !client.is_drained() {
             return None;
         }
+        if client.evict_unproductive.get() {
+            return Some(CloseReason::Unproductive);
+        }
         if let Some(error) = self.protocol_error {
             return Some(CloseReason::ProtocolError(error));
         }
@@ -356,12 +372,7 @@
             |error| command::error_reply(&error),
             |request| self.server.bounced_reply(request.group),
         );
-        self.skipped = Some(SkippedCommand {
-            remaining_bytes: end - self.received.len(),
-            sequence: (!self.client.is_full()).then(|| self.client.reserve_sequence()),
-            reply,
-        });
-        self.client.has_sent_command.set(true);
+        self.skipped = Some(SkippedCommand { remaining_bytes: end - self.received.len(), reply });
         let length = self.received.len();
         self.received.consume(length, 0);
         self.scanner.reset();
@@ -373,9 +384,8 @@
     fn reject_stream(&mut self, error: &'static str) {
         self.protocol_error = Some(error);
         self.client.closing.set(true);
-        let skipped = self.skipped.take().and_then(|skipped| skipped.sequence);
-        let sequence = skipped.unwrap_or_else(|| self.client.reserve_sequence());
-        self.reply_with_error(sequence, &format!("protocol error: {error}"));
+        self.skipped = None;
+        self.reply_with_error(self.client.reserve_sequence(), &format!("protocol error: {error}"));
         let length = self.received.len();
         self.received.consume(length, 0);
     }
@@ -388,13 +398,13 @@
 
     /// Answers a discarded command once all of it has been received.
     fn answer_skipped(&mut self) {
-        let Some(SkippedCommand { sequence, reply, .. }) = self.skipped.take_if(|s| s.remaining_bytes == 0)
-        else {
+        let Some(SkippedCommand { reply, .. }) = self.skipped.take_if(|s| s.remaining_bytes == 0) else {
             return;
         };
-        match sequence {
-            Some(sequence) => self.client.reply_in_turn(sequence, Reply::Line(reply)),
-            None => self.client.refuse(&reply),
+        if self.client.is_full() {
+            self.client.refuse(&reply);
+        } else {
+            self.client.reply_in_turn(self.client.reserve_sequence(), Reply::Line(reply));
         }
     }
 
@@ -439,6 +449,7 @@
             }
             Ok(Request::Hit(request)) => {
                 let (group, sequence) = (request.group, self.client.reserve_sequence());
+                self.client.has_sent_hit.set(true);
                 match self.received.take_block_with_extra(length, Purpose::in_flight(group), HIT_BYTES) {
                     Ok(block) => self.server.inbox.push_hit(IncomingHit {
                         client: self.client.clone(),
--- a/crates/marshal/src/clients.rs
+++ b/crates/marshal/src/clients.rs
@@ -30,6 +30,9 @@
 /// slow client may still use its connection; but if idle connections were kept for long, the clients waiting
 /// to be accepted would give up first, and accepting them would then be in vain.
 const SINGLE_COMMAND_IDLE_FACTOR: f64 = 0.1;
+/// A connection that never sent a hit, or is in the middle of a command, is kept at least this long when all are in use
+/// and others wait to be accepted.
+const MIN_UNPRODUCTIVE_TIME: Span = Span::millis(100);
 /// A connection is kept at least this long when all are in use and others wait to be accepted.
 const MIN_TENURE: Span = Span::millis(1_000);
 /// State shared by all client connections.
@@ -89,7 +92,8 @@
                 || self.ledger.available(Purpose::Clients) < CLIENT_CONNECTION_BYTES
             {
                 // No connection is idle: long-lived connections must not lock out all other clients.
-                if self.close_idle(MAX_EVICTIONS) == 0
+                if self.registry.close_unproductive(MIN_UNPRODUCTIVE_TIME, MAX_EVICTIONS) == 0
+                    && self.close_idle(MAX_EVICTIONS) == 0
                     && last_rotation.elapsed() >= ACCEPT_RETRY_INTERVAL * MAX_EVICTIONS as u32
                 {
                     last_rotation = Instant::now();
