Listener: a queue of 4,096 connections, so that crowds delay no handshake

Callers saw: a hit answered 1.03 s after it was sent, with 900 ms to live, while 600 clients connected at once.

Cause: the standard library listens with a queue of 128. Above it the system drops the last step of the handshake and repeats it after a second; the client has sent its hit by then, and its deadline starts to run for the marshal a second late.

Change: listen is called again with 4,096; where that is refused, the queue stays as it was.

--- a/crates/marshal/src/reactor.rs
+++ b/crates/marshal/src/reactor.rs
@@ -10,7 +10,7 @@
 use std::collections::BTreeMap;
 use std::future::{Future, poll_fn};
 use std::io;
-use std::net::{SocketAddr, TcpStream};
+use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::os::fd::{AsFd, OwnedFd};
 use std::pin::Pin;
 use std::task::{Context, Poll, Waker};
@@ -23,6 +23,9 @@
 const MAX_POLL_TIME: Duration = Duration::from_micros(500);
 /// Tasks polled between two readings of the clock.
 const POLLS_PER_CLOCK_READING: usize = 4;
+/// Connections that may wait to be accepted. Those above it are established a second late, when the system repeats their
+/// handshake, and what their clients sent meanwhile comes late too.
+const LISTEN_BACKLOG: i32 = 4_096;
 /// Longest wait for an event; correctness does not depend on it.
 const MAX_WAIT: Duration = Duration::from_secs(1);
 
@@ -163,6 +166,16 @@
     let _ = rustix::net::sockopt::set_tcp_congestion(&socket, "reno");
 }
 
+/// Listens at `addr`. If the longer queue of connections is refused, the usual one stays.
+pub fn listen(addr: SocketAddr) -> io::Result<Async<TcpListener>> {
+    let listener = TcpListener::bind(addr)?;
+    let _ = rustix::net::listen(&listener, LISTEN_BACKLOG);
+    listener.set_nonblocking(true)?;
+    // Accepted sockets inherit these options.
+    tune_for_latency(&listener);
+    Async::new(listener)
+}
+
 /// Connects to `addr`. There is no time limit; dropping the future gives up the attempt.
 pub async fn connect(addr: SocketAddr) -> io::Result<Async<TcpStream>> {
     let family = if addr.is_ipv4() { AddressFamily::INET } else { AddressFamily::INET6 };
--- a/crates/marshal/src/serve.rs
+++ b/crates/marshal/src/serve.rs
@@ -18,7 +18,7 @@
 use signal_hook::consts::{SIGHUP, SIGINT, SIGTERM, SIGUSR1};
 use std::cell::Cell;
 use std::io::{self, Read as _};
-use std::net::{SocketAddr, TcpListener};
+use std::net::SocketAddr;
 use std::os::unix::net::UnixStream;
 use std::path::{Path, PathBuf};
 use std::rc::Rc;
@@ -127,10 +127,7 @@
     let (list_by_request, call_timeout) = stonescale_site::control_plane_settings(settings)?;
     let ledger = Ledger::new(&plan);
 
-    let listener = TcpListener::bind(listen).and_then(|l| l.set_nonblocking(true).map(|()| l));
-    // Accepted sockets inherit these options.
-    listener.iter().for_each(reactor::tune_for_latency);
-    let listener = listener.and_then(Async::new).map_err(|e| format!("listen: {listen}: {e}"))?;
+    let listener = reactor::listen(listen).map_err(|e| format!("listen: {listen}: {e}"))?;
     info!("listening at {}", listener.get_ref().local_addr().unwrap_or(listen));
     let (clock, inbox) = (Clock::start(), Rc::new(Inbox::default()));
     let executor = Rc::new(LocalExecutor::new());
