Shutdown: hits on busy connections are refused, and the marshal ends by itself

Cause: after the period in which new connections are accepted, a connection was closed at a moment without an open command; until then it took commands as before, so that a client that never paused kept it open for ever.

Change: a connection that is to be closed opens no further hits. What comes on it is read and refused with -BUSY, in its turn; once all is answered and nothing is unread, it is closed, at the latest 0.1 s after its last open hit ended.

Why it works: open hits end by their deadlines, 3 s at most, so that the last connection ends 3.65 s after SIGTERM at the latest; the earliest SIGKILL comes at 3.7 s.

--- a/crates/connection/src/reply_queue.rs
+++ b/crates/connection/src/reply_queue.rs
@@ -148,6 +148,11 @@
         }
     }
 
+    /// Whether a command has no reply yet.
+    pub fn has_pending(&self) -> bool {
+        self.entries.iter().any(|entry| matches!(entry, Entry::Pending { .. }))
+    }
+
     /// The hits of commands without a reply.
     pub fn pending_hits(&self) -> impl Iterator<Item = u32> {
         self.entries.iter().filter_map(|entry| match entry {
--- a/crates/lab/src/raw_client.rs
+++ b/crates/lab/src/raw_client.rs
@@ -21,7 +21,12 @@
         let stream = TcpStream::connect(addr)?;
         stream.set_nodelay(true)?;
         stream.set_read_timeout(Some(REPLY_TIMEOUT))?;
-        Ok(RawClient(BufReader::new(stream)))
+        Ok(RawClient::from_stream(stream))
+    }
+
+    /// A client on an open connection, of which no reply has been read.
+    pub fn from_stream(stream: TcpStream) -> Self {
+        RawClient(BufReader::new(stream))
     }
 
     /// The socket, for options and for reading and writing from different threads.
--- a/crates/marshal/src/client.rs
+++ b/crates/marshal/src/client.rs
@@ -146,6 +146,11 @@
         self.commands.borrow().is_full()
     }
 
+    /// Whether a command has no reply yet.
+    pub fn has_pending(&self) -> bool {
+        self.commands.borrow().has_pending()
+    }
+
     /// Records the number of the hit that a command became.
     pub fn bind_hit(&self, sequence: u64, hit: u32) {
         self.commands.borrow_mut().bind_hit(sequence, hit);
--- a/crates/marshal/src/client_task.rs
+++ b/crates/marshal/src/client_task.rs
@@ -25,6 +25,8 @@
 const COMMAND_TIMEOUT: Span = Span::millis(2_500);
 /// How long a connection with a protocol error stays open for the client to read the error.
 const LINGER_TIMEOUT: Duration = Duration::from_secs(1);
+/// How long a client that sends without pause can keep open a connection that is to be closed and has no open hit.
+const MAX_CLOSING_TIME: Duration = Duration::from_millis(100);
 /// Commands dispatched before other tasks get their turn.
 const MAX_COMMANDS_PER_TURN: usize = 32;
 
@@ -77,6 +79,10 @@
     command_started_at: Instant,
     input: Input,
     input_ended_at: Option<Instant>,
+    /// Since when the connection is to be closed and has no open hit.
+    closing_since: Option<Instant>,
+    /// Its client has sent for too long since then.
+    stops_reading: bool,
     /// Further complete commands may have been received.
     has_more: bool,
 }
@@ -97,6 +103,8 @@
             command_started_at: Instant::now(),
             input: Input::Open,
             input_ended_at: None,
+            closing_since: None,
+            stops_reading: false,
             has_more: false,
         })
     }
@@ -157,6 +165,7 @@
         loop {
             self.dispatch_turn();
             self.record_receiving();
+            self.limit_closing_time();
             if self.client.is_aborted() || self.client.flush().is_err() {
                 return CloseReason::Aborted;
             }
@@ -194,6 +203,16 @@
         self.client.receiving_since.set(since);
     }
 
+    /// Stops reading from a client that sends without pause on a connection that is to be closed.
+    fn limit_closing_time(&mut self) {
+        if !self.client.closing.get() || self.client.has_pending() {
+            self.closing_since = None;
+            return;
+        }
+        let since = *self.closing_since.get_or_insert_with(Instant::now);
+        self.stops_reading |= since.elapsed() >= MAX_CLOSING_TIME;
+    }
+
     /// Dispatches what has been received, and notices a command that is not completed in time.
     fn dispatch_turn(&mut self) {
         self.has_more = false;
@@ -241,11 +260,15 @@
         if self.input == Input::Exhausted {
             return Some(CloseReason::ClientLeft);
         }
+        if self.stops_reading {
+            return Some(CloseReason::Drained);
+        }
         if self.is_mid_command() {
             return None;
         }
         if client.closing.get() {
-            return Some(CloseReason::Drained);
+            // What has come meanwhile is read and refused first.
+            return client.is_idle().then_some(CloseReason::Drained);
         }
         let reason = if evict {
             CloseReason::Evicted
@@ -272,13 +295,10 @@
         }
     }
 
-    /// Whether to read next, with the memory reserved for it. A connection that is to be closed is only read to the end
-    /// of the command that it is in.
+    /// Whether to read next, with the memory reserved for it.
     fn prepare_read(&mut self) -> bool {
-        let wanted = self.protocol_error.is_none()
-            && self.input != Input::Exhausted
-            && self.client.accepts_commands()
-            && (!self.client.closing.get() || self.is_mid_command());
+        let wanted =
+            self.protocol_error.is_none() && self.input != Input::Exhausted && self.client.accepts_commands();
         if !wanted {
             return false;
         }
--- /dev/null
+++ b/crates/marshal/tests/shutdown.rs
@@ -0,0 +1,79 @@
+//! SIGTERM while clients go on sending on open connections: what is taken is answered, and the marshal ends by itself
+//! before the earliest SIGKILL. The marshal's binary on loopback.
+
+use rstest::rstest;
+use std::path::Path;
+use std::time::{Duration, Instant};
+use stonescale_lab::World;
+use stonescale_lab::load::HitKind;
+use stonescale_lab::node::{FaultMode, NodeBehavior};
+use stonescale_lab::raw_client::{RawClient, TestHit};
+use stonescale_lab::runtime::wait_until;
+use stonescale_lab::site::{Limits, MUTATING};
+
+/// The longest client timeout (counted as 3 s where it is longer) and 0.7 s more after SIGTERM.
+const EARLIEST_KILL: Duration = Duration::from_millis(3_700);
+/// Requests sent this shortly before a connection ended may have crossed its end.
+const CROSSING_TIME: Duration = Duration::from_millis(50);
+const CLIENT_TIMEOUT: Duration = Duration::from_millis(2_900);
+const CONNECTIONS: u64 = 8;
+
+/// Sends a hit every `gap` until the connection ends; returns how many were sent early enough, and how many answered.
+fn send_until_closed(
+    mut client: RawClient, hits: impl Iterator<Item = Vec<u8>>, gap: Duration,
+) -> (usize, usize) {
+    let mut reader = RawClient::from_stream(client.stream().try_clone().unwrap());
+    let reading = std::thread::spawn(move || {
+        let mut answered = 0;
+        while let Ok(Some(_)) = reader.read_reply() {
+            answered += 1;
+        }
+        (answered, Instant::now())
+    });
+    let mut sent_at = Vec::new();
+    for hit in hits {
+        if reading.is_finished() || client.send(&hit).is_err() {
+            break;
+        }
+        sent_at.push(Instant::now());
+        std::thread::sleep(gap);
+    }
+    let (answered, ended_at) = reading.join().unwrap();
+    (sent_at.iter().filter(|at| **at + CROSSING_TIME < ended_at).count(), answered)
+}
+
+#[rstest]
+#[case::busy_nodes(FaultMode::Healthy, 25, true)]
+#[case::silent_nodes(FaultMode::Silent, 25, true)]
+// They write more than can be read: what stays unread is theirs to send again elsewhere.
+#[case::clients_without_pause(FaultMode::Healthy, 0, false)]
+fn connections_in_use_end_after_sigterm_with_every_hit_answered(
+    #[case] mode: FaultMode, #[case] gap_ms: u64, #[case] all_can_be_read: bool,
+) {
+    let slow = NodeBehavior { cores: 64, work_median: Duration::from_millis(150), ..NodeBehavior::default() };
+    let binary = Path::new(env!("CARGO_BIN_EXE_stonescale"));
+    let mut world = World::start(binary, 4, Limits::default(), &slow, &[]).unwrap();
+    world.set_fault_mode_of_all_nodes(mode);
+    let threads: Vec<_> = (0..CONNECTIONS)
+        .map(|connection| {
+            let client = RawClient::connect(world.program.addr).unwrap();
+            let kind = HitKind { group: MUTATING, share: 1.0, body_bytes: 4, client_timeout: CLIENT_TIMEOUT };
+            let group = world.path_groups[MUTATING].clone();
+            let hits = (1..).map(move |number: u64| {
+                let id = format!("{:016x}", connection << 32 | number);
+                TestHit { id, group: &group, kind: kind.clone() }.encode()
+            });
+            std::thread::spawn(move || send_until_closed(client, hits, Duration::from_millis(gap_ms)))
+        })
+        .collect();
+    assert!(wait_until(EARLIEST_KILL, || world.nodes.iter().map(|n| n.commands_received()).sum::<u64>() > 16));
+    let signaled_at = Instant::now();
+    world.program.signal("TERM");
+    let ended = wait_until(EARLIEST_KILL, || world.program.exit_status().is_some());
+    assert!(ended, "the marshal runs {:?} after SIGTERM", signaled_at.elapsed());
+    assert!(world.program.exit_status().unwrap().success());
+    for thread in threads {
+        let (sent, answered) = thread.join().unwrap();
+        assert!(answered >= sent || !all_can_be_read && answered > 0, "{answered} of {sent} answered");
+    }
+}
