--- a/crates/marshal/src/client_task.rs
+++ b/crates/marshal/src/client_task.rs
@@ -6,6 +6,7 @@
 use crate::clock::duration;
 use crate::command::{self, COMMAND_LIMITS, Command, MAX_VALUE_BYTES, Request, parse_command};
 use crate::inbox::{HitEvent, IncomingHit};
+use crate::metrics::Refusal;
 use crate::reactor::Async;
 use crate::turn::{Interest, Wakeup, read_available, wait_for_wakeup};
 use futures_lite::future::yield_now;
@@ -49,6 +50,21 @@
     ProtocolError(&'static str),
 }
 
+impl CloseReason {
+    /// The reason without its details, for the counters.
+    fn name(self) -> &'static str {
+        match self {
+            CloseReason::ClientLeft => "ClientLeft",
+            CloseReason::Aborted => "Aborted",
+            CloseReason::Idle => "Idle",
+            CloseReason::Evicted => "Evicted",
+            CloseReason::Unproductive => "Unproductive",
+            CloseReason::Drained => "Drained",
+            CloseReason::ProtocolError(_) => "ProtocolError",
+        }
+    }
+}
+
 /// How much of the client's input is still to come.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum Input {
@@ -130,6 +146,7 @@
             unanswered.len()
         );
         self.give_up(unanswered);
+        self.server.metrics.connection_closed(reason.name());
         self.server.connection_closed();
     }
 
@@ -392,6 +409,8 @@
             |error| command::error_reply(&error),
             |request| self.server.bounced_reply(request.group),
         );
+        let refusal = if refused { self.refusal() } else { Refusal::NoMemory };
+        self.server.metrics.command_refused(refusal);
         self.skipped = Some(SkippedCommand { remaining_bytes: end - self.received.len(), reply });
         let length = self.received.len();
         self.received.consume(length, 0);
@@ -410,7 +429,13 @@
         self.received.consume(length, 0);
     }
 
+    /// Why a further hit would be refused.
+    fn refusal(&self) -> Refusal {
+        if self.client.is_full() { Refusal::PipelineLimit } else { Refusal::ConnectionEnding }
+    }
+
     fn reply_with_error(&self, sequence: u64, error: &str) {
+        self.server.metrics.command_refused(Refusal::Invalid);
         debug!("client {} gets an error: {error}", self.client.number);
         let reply = text_reply(&self.server.ledger, command::error_reply(error));
         self.client.reply_in_turn(sequence, reply);
@@ -459,11 +484,13 @@
                 Ok(Request::Hit(request)) => self.server.bounced_reply(request.group),
                 _ => command::bounced_reply(Span::ZERO),
             };
+            self.server.metrics.command_refused(Refusal::PipelineLimit);
             self.received.consume(length, MIN_CAPACITY_BYTES);
             return self.client.refuse(&line);
         }
         match parsed {
             Ok(Request::Hit(request)) if !self.client.may_open_hit() => {
+                self.server.metrics.command_refused(Refusal::ConnectionEnding);
                 self.received.consume(length, MIN_CAPACITY_BYTES);
                 self.client.refuse(&self.server.bounced_reply(request.group));
             }
@@ -478,6 +505,7 @@
                         received_at: self.server.registry.clock.now(),
                     }),
                     Err(_) => {
+                        self.server.metrics.command_refused(Refusal::NoMemory);
                         self.received.consume(length, MIN_CAPACITY_BYTES);
                         let reply = Reply::Line(self.server.bounced_reply(group));
                         self.client.reply_in_turn(sequence, reply);
--- a/crates/marshal/src/clients.rs
+++ b/crates/marshal/src/clients.rs
@@ -4,6 +4,7 @@
 use crate::client_task::ClientTask;
 use crate::command::MAX_VALUE_BYTES;
 use crate::inbox::Inbox;
+use crate::metrics::Metrics;
 use crate::reactor::{Async, Timer};
 use async_executor::LocalExecutor;
 use std::cell::{Cell, RefCell};
@@ -41,6 +42,7 @@
     pub names: WireNames,
     pub registry: Rc<ClientRegistry>,
     pub ledger: Ledger,
+    pub metrics: Rc<Metrics>,
     max_connections: usize,
     /// Number of connections that have sent a command above which idle ones are closed.
     idle_eviction_threshold: usize,
@@ -53,7 +55,7 @@
     /// Creates a server without connections. `idle_eviction_threshold` is the number of connections that have sent a
     /// command above which idle ones are closed.
     pub fn new(
-        inbox: Rc<Inbox>, registry: Rc<ClientRegistry>, names: WireNames,
+        inbox: Rc<Inbox>, registry: Rc<ClientRegistry>, names: WireNames, metrics: Rc<Metrics>,
         (max_connections, idle_eviction_threshold): (usize, usize),
     ) -> Rc<Self> {
         let (ledger, scratch) = (registry.ledger.clone(), RefCell::new(vec![0; MAX_VALUE_BYTES]));
@@ -62,6 +64,7 @@
             names,
             registry,
             ledger,
+            metrics,
             max_connections,
             idle_eviction_threshold,
             count: Cell::new(0),
@@ -123,6 +126,7 @@
             accept_failing = false;
             let Some(client) = self.registry.register(stream) else { continue };
             self.count.set(self.count.get() + 1);
+            self.metrics.connection_accepted();
             let active = self.registry.connected().iter().filter(|c| c.has_sent_command.get()).count();
             // Clients use a limited number of connections for hits: if all of them stayed idle, the next hit
             // would find none.
--- a/crates/marshal/src/core.rs
+++ b/crates/marshal/src/core.rs
@@ -7,6 +7,7 @@
 use crate::discovery::Discovery;
 use crate::endings::EndReason;
 use crate::inbox::{ControlEvent, HitEvent, Inbox, IncomingHit, NodeEntry, StageReport};
+use crate::metrics::{Answer, Metrics, Refusal};
 use crate::nodes::{NodeConnection, NodePool};
 use crate::platform::Platform;
 use crate::reactor;
@@ -83,13 +84,14 @@
     nodes: NodePool,
     discovery: Discovery,
     platform: Rc<Platform>,
+    metrics: Rc<Metrics>,
 }
 
 impl MarshalHost {
     /// Creates a host that knows no nodes yet; [`Core::apply_node_list`] adds them.
     pub fn new(
         clock: Clock, ledger: Ledger, inbox: Rc<Inbox>, nodes: NodePool, discovery: Discovery,
-        platform: Rc<Platform>, hit_ids: HitIds,
+        platform: Rc<Platform>, hit_ids: HitIds, metrics: Rc<Metrics>,
     ) -> Self {
         let (now, node_numbers, free_numbers) = (clock.now(), HashMap::new(), Vec::new());
         MarshalHost {
@@ -107,6 +109,7 @@
             nodes,
             discovery,
             platform,
+            metrics,
         }
     }
 
@@ -145,15 +148,16 @@
     }
 
     /// Replies to a hit unless it has been answered.
-    fn reply(&mut self, hit: u32, line: impl FnOnce() -> Vec<u8>) {
-        self.finish(hit, || Reply::Line(line()));
+    fn reply(&mut self, hit: u32, answer: Answer, line: impl FnOnce() -> Vec<u8>) {
+        self.finish(hit, answer, || Reply::Line(line()));
         self.release_if_done(hit);
     }
 
     /// Gives a hit its final answer, unless it has one; forwards of it that are not written yet are withdrawn.
-    fn finish(&mut self, hit: u32, reply: impl FnOnce() -> Reply) {
+    fn finish(&mut self, hit: u32, answer: Answer, reply: impl FnOnce() -> Reply) {
         let Some(pending) = self.hits.get_mut(hit).filter(|pending| !pending.answered) else { return };
         pending.answered = true;
+        self.metrics.hit_ended(answer);
         pending.client.reply(pending.sequence, reply());
         for (hop, forward) in pending.forwards.iter().enumerate().filter(|(_, forward)| !forward.ended) {
             if let Some(connection) = &forward.connection {
@@ -221,17 +225,18 @@
     }
 
     fn bounce(&mut self, hit: u32, retry_after: Span) {
-        self.reply(hit, || command::bounced_reply(retry_after));
+        self.reply(hit, Answer::Bounced, || command::bounced_reply(retry_after));
     }
 
     fn report_give_up(&mut self, hit: u32, reason: GiveUpReason) {
+        self.metrics.hit_given_up(reason);
         if let Some(pending) = self.hits.get(hit) {
             trace!("hit {} given up: {reason:?}, {} forwards", pending.command.id(), pending.forwards.len());
         }
     }
 
     fn error(&mut self, hit: u32) {
-        self.reply(hit, command::errored_reply);
+        self.reply(hit, Answer::Errored, command::errored_reply);
     }
 
     fn cancel(&mut self, hit: u32, hop: u8) {
@@ -411,12 +416,14 @@
             return;
         }
         if client.has_departed() {
+            self.host.metrics.command_refused(Refusal::ConnectionEnding);
             return client.reply(sequence, Reply::Line(command::errored_reply()));
         }
         #[cfg(feature = "mutants")]
         crate::mutants::leak_on_hit();
         let now = self.host.now;
         let Ok(id) = self.host.hit_ids.open(command.id_bytes(), now) else {
+            self.host.metrics.command_refused(Refusal::IdInUse);
             debug!("client {} sent hit {} again: its id is in use", client.number, command.id());
             return client.reply(sequence, Reply::Line(command::error_reply("id is in use")));
         };
@@ -455,6 +462,7 @@
         if let Some(timeout_timer) = forward.timeout_timer.take() {
             self.host.timers.cancel(timeout_timer);
         }
+        self.host.metrics.forward_ended(reason, sent);
         let (outcome, latency) = (reason.outcome(sent), now - forward.sent_at);
         pending.may_have_run |= !outcome.proves_never_run();
         trace!(
@@ -463,7 +471,7 @@
             latency.as_nanos() / 1_000_000
         );
         if let Some(value) = value {
-            self.host.finish(hit, || Reply::Value(value));
+            self.host.finish(hit, Answer::Delivered, || Reply::Value(value));
         }
         let answered = self.host.hits.get(hit).is_none_or(|pending| pending.answered);
         self.marshal.on_forward_completed(&mut self.host, now, (hit, hop), outcome, answered, latency);
@@ -475,7 +483,7 @@
         if let Some(pending) = self.host.hits.get_mut(hit).filter(|pending| !pending.answered) {
             trace!("hit {}: client disconnected", pending.command.id());
             // A client that only ended its sending may still read.
-            self.host.finish(hit, || Reply::Line(command::errored_reply()));
+            self.host.finish(hit, Answer::ClientLeft, || Reply::Line(command::errored_reply()));
             self.marshal.on_client_left(&mut self.host, now, hit);
             self.host.release_if_done(hit);
         }
--- a/crates/marshal/src/endings.rs
+++ b/crates/marshal/src/endings.rs
@@ -1,10 +1,11 @@
 //! Reasons why a forward or the connection that carried it ended, and the outcome each one is reported as.
 
+use prometheus_client::encoding::EncodeLabelValue;
 use std::io::{Error, ErrorKind};
 use stonescale::host::ForwardOutcome;
 
 /// Why a forward or the connection that carried it ended. Log lines print the variants by name.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, EncodeLabelValue)]
 pub enum EndReason {
     /// The node replied with a value.
     Served,
--- a/crates/marshal/src/main.rs
+++ b/crates/marshal/src/main.rs
@@ -12,6 +12,7 @@
 mod inbox;
 mod logger;
 mod memory;
+mod metrics;
 #[cfg(feature = "mutants")]
 mod mutants;
 mod nodes;
--- a/crates/marshal/src/serve.rs
+++ b/crates/marshal/src/serve.rs
@@ -7,6 +7,7 @@
 use crate::core::{Core, MarshalHost};
 use crate::discovery::{Discovery, List, LocalityNames};
 use crate::inbox::{ControlEvent, Inbox, NodeEntry};
+use crate::metrics::Metrics;
 use crate::nodes::NodePool;
 use crate::platform::{self, Platform};
 use crate::reactor::{self, Async, Timer};
@@ -130,6 +131,7 @@
     let listener = reactor::listen(listen).map_err(|e| format!("listen: {listen}: {e}"))?;
     info!("listening at {}", listener.get_ref().local_addr().unwrap_or(listen));
     let (clock, inbox) = (Clock::start(), Rc::new(Inbox::default()));
+    let metrics = Rc::new(Metrics::default());
     let executor = Rc::new(LocalExecutor::new());
     let nodes = NodePool::new(
         inbox.clone(),
@@ -161,6 +163,7 @@
         discovery,
         platform,
         HitIds::new(memory_bytes / MEMORY_PER_ENDED_ID),
+        metrics.clone(),
     );
     let marshal = stonescale_site::start_marshal(settings, seed, clock.now(), &mut host)?;
     if !list_by_request {
@@ -182,7 +185,8 @@
     let files = (config, files.operator);
     executor.spawn(reload_on_signal(reload_signals, files, (root, operator), addresses, targets)).detach();
 
-    let clients = ClientServer::new(inbox, ClientRegistry::new(ledger.clone(), clock), names, max_clients);
+    let registry = ClientRegistry::new(ledger.clone(), clock);
+    let clients = ClientServer::new(inbox, registry, names, metrics, max_clients);
     executor
         .spawn(report_memory(report_signals, (ledger, log), groups, clients.clone(), report_every))
         .detach();
@@ -290,6 +294,7 @@
         if requested || due {
             last_report = Instant::now();
             memory::log_report(&ledger, &groups, clients.count());
+            clients.metrics.log();
         }
     }
 }
--- a/crates/marshal/tests/departed_clients.rs
+++ b/crates/marshal/tests/departed_clients.rs
@@ -292,3 +292,27 @@
     assert!(reply.starts_with("-ERR "), "{reply}");
     assert_eq!(commands_received(&world), 0);
 }
+
+#[test]
+fn the_report_counts_why_commands_and_connections_ended() {
+    let world = world(1);
+    world.nodes[0].script([ScriptedReply::NoReply]);
+    let left = hit(&world, 0xeeee, MUTATING, CLIENT_TIMEOUT);
+    let client = send_pipelined(&world, std::slice::from_ref(&left));
+    drop(client);
+    let mut second = RawClient::connect(world.program.addr).unwrap();
+    second.send(&left.encode()).unwrap();
+    assert_eq!(second.read_reply().unwrap().unwrap(), "-ERR id is in use");
+    world.program.signal("USR1");
+    let mut expected = vec![
+        "client_connections_accepted_total 2",
+        "client_connections_closed_total{reason=\"ClientLeft\"} 1",
+        "commands_refused_total{reason=\"IdInUse\"} 1",
+        "hits_total{answer=\"ClientLeft\"} 1",
+        "forwards_total{reason=\"CalledOff\",sent=\"true\"} 1",
+    ];
+    while !expected.is_empty() {
+        let line = world.program.wait_for_log_line("counters: ", TEST_TIMEOUT).unwrap();
+        expected.retain(|sample| !line.contains(sample));
+    }
+}
