Nodes: a connection rests 15 ms, so that a late second reply is noticed

Cause: replies carry no id and are paired with forwards by their order. A connection was used again 5 ms after its last reply, if nothing had come by then; a second answer that came later was taken for that of the next forward.

Limit: an answer that comes later still would be taken for the next one's. Nothing in the reply could tell.

--- a/crates/lab/src/node.rs
+++ b/crates/lab/src/node.rs
@@ -26,8 +26,9 @@
     SendAfter(Duration, Vec<u8>),
     /// Sends these bytes unchanged and closes the connection; the command does not count as executed.
     SendAndClose(Vec<u8>),
-    /// Executes the command, and sends these bytes 1 ms after the reply.
-    ServeThenSend(Vec<u8>),
+    /// Executes the command, and sends these bytes this long after the reply, unless another command has come on the
+    /// connection by then.
+    ServeThenSend(Duration, Vec<u8>),
     /// Executes the command, but replies only once another command has arrived, on any connection.
     ServeAfterNextCommand,
     /// Sends no reply to this command, nor to those after it on the same connection.
@@ -102,11 +103,13 @@
     close: bool,
     /// Number of commands the node must have received before the reply is sent.
     min_commands_received: u64,
+    /// Belongs to no command: it is dropped if another command comes long enough before it.
+    stray: bool,
 }
 
 impl PendingReply {
     fn at(send_at: Instant, text: Vec<u8>) -> Self {
-        PendingReply { send_at, text, close: false, min_commands_received: 0 }
+        PendingReply { send_at, text, close: false, min_commands_received: 0, stray: false }
     }
 }
 
@@ -147,6 +150,9 @@
 /// Delay of a reply that is never sent. Nothing behind it on its connection is sent either, as replies keep the order
 /// of their commands.
 const NEVER_SENT_DELAY: Duration = Duration::from_secs(86_400);
+/// A reply that belongs to no command is still sent if a command came at most this long before: over a link with a round
+/// trip of this time the two cross.
+const STRAY_CROSSING_TIME: Duration = Duration::from_millis(1);
 /// Entries of `received` that are kept; further ones are dropped.
 const MAX_QUEUED_EVENTS: usize = 4096;
 
@@ -354,6 +360,7 @@
         &self, words: Vec<String>, pending_replies: &mut VecDeque<PendingReply>,
     ) -> bool {
         let now = Instant::now();
+        pending_replies.retain(|reply| !reply.stray || reply.send_at <= now + STRAY_CROSSING_TIME);
         let id = words.get(2).cloned().unwrap_or_default();
         let fields = words.get(3).cloned().unwrap_or_default();
         let idempotency_key = list_value(&fields, "k").map(str::to_owned);
@@ -382,10 +389,11 @@
             (Some(ScriptedReply::SendAndClose(text)), _) => {
                 pending_replies.push_back(PendingReply { close: true, ..PendingReply::at(now, text) })
             }
-            (Some(ScriptedReply::ServeThenSend(text)), _) => {
+            (Some(ScriptedReply::ServeThenSend(delay, text)), _) => {
                 self.record_execution(&id, idempotency_key.as_deref());
                 pending_replies.push_back(PendingReply::at(now, value_reply(&id, 7)));
-                pending_replies.push_back(PendingReply::at(now + Duration::from_millis(1), text));
+                pending_replies
+                    .push_back(PendingReply { stray: true, ..PendingReply::at(now + delay, text) });
             }
             (Some(ScriptedReply::ServeAfterNextCommand), _) => {
                 self.record_execution(&id, idempotency_key.as_deref());
--- a/crates/marshal/src/nodes.rs
+++ b/crates/marshal/src/nodes.rs
@@ -43,7 +43,7 @@
 /// Time a connection stays idle before it is reused. A duplicate reply or stray bytes may directly follow a
 /// reply; they must have arrived by the time the connection is checked, or they would be taken for the reply
 /// to the next hit.
-const REUSE_DELAY: Span = Span::millis(5);
+const REUSE_DELAY: Span = Span::millis(15);
 /// One node may occupy one part in this many of the memory for bytes queued to all nodes.
 const NODE_QUEUE_DIVISOR: usize = 4;
 /// Interval of retries to reserve memory for an incoming reply.
--- a/crates/marshal/tests/sockets.rs
+++ b/crates/marshal/tests/sockets.rs
@@ -444,11 +444,20 @@
 }
 
 #[rstest]
-fn a_late_duplicate_reply_is_not_taken_for_the_next_hits_reply() {
-    let node = scripted_node([ScriptedReply::ServeThenSend("*1\r\n$5\r\nwrong\r\n".into())]);
+#[case(1)]
+#[case(6)]
+#[case(12)]
+fn a_late_duplicate_reply_is_not_taken_for_the_next_hits_reply(#[case] delay_ms: u64) {
+    let wrong = "*1\r\n$5\r\nwrong\r\n";
+    let duplicate = ScriptedReply::ServeThenSend(Duration::from_millis(delay_ms), wrong.into());
+    let node = scripted_node(vec![duplicate; 100]);
     let marshal = Marshal::start(&[&node]);
     let mut client = marshal.client();
-    assert_eq!([client.submit(), client.submit()], [SERVED_REPLY, SERVED_REPLY]);
+    // The next hit follows shortly before the duplicate, at it, or shortly after.
+    for pause_ms in (0..50).map(|step| delay_ms * step / 40) {
+        assert_eq!(client.submit(), SERVED_REPLY);
+        thread::sleep(Duration::from_millis(pause_ms));
+    }
 }
 
 #[rstest]
