Sockets: a read that returned less than the buffer holds is not taken as the last one

Cause: epoll reports each change once. read_available took a short read as proof that nothing was left and waited for the next event, which does not come for what is there already.

Change: a socket counts as readable until a read would block, at the cost of one more call for each message.

--- a/crates/lab/src/world.rs
+++ b/crates/lab/src/world.rs
@@ -48,6 +48,21 @@
     pub fn start_with_config(
         binary: &Path, node_count: usize, limits: Limits, behavior: &NodeBehavior, args: &[&str],
         edit_config: impl FnOnce(&mut Value),
+    ) -> Result<Self, String> {
+        Self::start_with_config_and_env(binary, node_count, limits, behavior, args, edit_config, &[])
+    }
+
+    /// Like [`World::start`], with these environment variables of the marshal.
+    pub fn start_with_env(
+        binary: &Path, node_count: usize, limits: Limits, behavior: &NodeBehavior, args: &[&str],
+        env: &[(&str, &str)],
+    ) -> Result<Self, String> {
+        Self::start_with_config_and_env(binary, node_count, limits, behavior, args, |_| (), env)
+    }
+
+    fn start_with_config_and_env(
+        binary: &Path, node_count: usize, limits: Limits, behavior: &NodeBehavior, args: &[&str],
+        edit_config: impl FnOnce(&mut Value), env: &[(&str, &str)],
     ) -> Result<Self, String> {
         let (runtime, path_groups) = (Runtime::default(), site::path_groups());
         let checker = SharedChecker::new(Checker::new(Bounds::default(), 0.1));
@@ -61,7 +76,7 @@
         let mut config =
             site::config(limits, discovery.addr, platform.addr, &build_status, &discovery.full_list());
         edit_config(&mut config);
-        let program = Program::start(binary, &config, args)?;
+        let program = Program::start_with_env(binary, &config, args, env)?;
         let started_nodes = nodes.len();
         Ok(World { program, nodes, discovery, platform, checker, path_groups, runtime, started_nodes })
     }
--- a/crates/marshal/src/turn.rs
+++ b/crates/marshal/src/turn.rs
@@ -107,12 +107,8 @@
 pub fn read_available<'a>(stream: &Async<TcpStream>, scratch: &'a mut [u8]) -> io::Result<Option<&'a [u8]>> {
     loop {
         match stream.get_ref().read(scratch) {
-            Ok(count) => {
-                if count < scratch.len() {
-                    stream.clear_readable();
-                }
-                return Ok(Some(&scratch[..count]));
-            }
+            // Also after a read that fills less than the buffer there may be more: only the system can tell.
+            Ok(count) => return Ok(Some(&scratch[..count])),
             Err(e) if e.kind() == ErrorKind::WouldBlock => {
                 stream.clear_readable();
                 return Ok(None);
