Sockets: errors of accept and connect by what they mean, not by a few numbers

Cause, by reading: after any error of accept, also one that loses only the connection at hand (ECONNABORTED, EPROTO, pending network errors), idle connections of other clients were closed and accepting paused for 10 ms. A connect without local memory (ENOBUFS, ENOMEM) or ports (EAGAIN) counted against the node. An interrupted connect was given up.

Change: crates/connection classifies the errors that Linux documents (socket_errors), with a test of each; accept goes on at once where one connection is lost; a lack of local resources is reported as NoSocket, as for descriptors.

The errors of connect were not provoked on real sockets.

--- a/crates/marshal/src/clients.rs
+++ b/crates/marshal/src/clients.rs
@@ -9,15 +9,15 @@
 use async_executor::LocalExecutor;
 use futures_lite::future::yield_now;
 use std::cell::{Cell, RefCell};
-use std::io::ErrorKind;
 use std::net::TcpListener;
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 use stonescale::time::Span;
 use stonescale_budget::plan::CLIENT_CONNECTION_BYTES;
 use stonescale_budget::{Ledger, Purpose};
+use stonescale_connection::socket_errors::{AcceptFailure, classify_accept_error};
 use stonescale_site::WireNames;
-use tracing::warn;
+use tracing::{debug, warn};
 
 /// Interval of retries to accept after memory or descriptors ran out.
 const ACCEPT_RETRY_INTERVAL: Duration = Duration::from_millis(10);
@@ -113,17 +113,24 @@
             let accepted = accepted.and_then(|(stream, _)| stream.set_nonblocking(true).map(|()| stream));
             let stream = match accepted.and_then(Async::new) {
                 Ok(stream) => stream,
-                Err(e) if e.kind() == ErrorKind::WouldBlock => {
-                    listener.clear_readable();
-                    listener.readable().await;
-                    continue;
-                }
                 Err(e) => {
-                    if !std::mem::replace(&mut accept_failing, true) {
-                        warn!("accepting a connection failed, retrying: {e}");
+                    match classify_accept_error(&e) {
+                        AcceptFailure::NoneWaiting => {
+                            listener.clear_readable();
+                            listener.readable().await;
+                        }
+                        AcceptFailure::TryNext => {
+                            debug!("a connection failed before it was accepted: {e}");
+                            yield_now().await;
+                        }
+                        AcceptFailure::OutOfResources => {
+                            if !std::mem::replace(&mut accept_failing, true) {
+                                warn!("accepting a connection failed, retrying: {e}");
+                            }
+                            self.close_idle(MAX_EVICTIONS);
+                            Timer::after(ACCEPT_RETRY_INTERVAL).await;
+                        }
                     }
-                    self.close_idle(MAX_EVICTIONS);
-                    Timer::after(ACCEPT_RETRY_INTERVAL).await;
                     continue;
                 }
             };
--- a/crates/marshal/src/endings.rs
+++ b/crates/marshal/src/endings.rs
@@ -1,8 +1,9 @@
 //! Reasons why a forward or the connection that carried it ended, and the outcome each one is reported as.
 
 use prometheus_client::encoding::EncodeLabelValue;
-use std::io::{Error, ErrorKind};
+use std::io::Error;
 use stonescale::host::ForwardOutcome;
+use stonescale_connection::socket_errors::{ConnectFailure, classify_connect_error};
 
 /// Why a forward or the connection that carried it ended. Log lines print the variants by name.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, EncodeLabelValue)]
@@ -45,13 +46,11 @@
 impl EndReason {
     /// Maps an error from establishing a connection.
     pub fn from_connect_error(error: &Error) -> Self {
-        match error.kind() {
-            ErrorKind::ConnectionRefused => EndReason::Refused,
-            ErrorKind::TimedOut => EndReason::NeverUp,
-            ErrorKind::AddrNotAvailable | ErrorKind::AddrInUse => EndReason::NoSocket,
-            // ENFILE or EMFILE: the system or the process is out of file descriptors.
-            _ if matches!(error.raw_os_error(), Some(23 | 24)) => EndReason::NoSocket,
-            _ => EndReason::Broken,
+        match classify_connect_error(error) {
+            ConnectFailure::Refused => EndReason::Refused,
+            ConnectFailure::TimedOut => EndReason::NeverUp,
+            ConnectFailure::NoLocalResources => EndReason::NoSocket,
+            ConnectFailure::Unreachable => EndReason::Broken,
         }
     }
 
--- a/crates/marshal/src/reactor.rs
+++ b/crates/marshal/src/reactor.rs
@@ -183,7 +183,8 @@
     let socket = rustix::net::socket_with(family, SocketType::STREAM, flags, None)?;
     tune_for_latency(&socket);
     match rustix::net::connect(&socket, &addr) {
-        Ok(()) | Err(rustix::io::Errno::INPROGRESS) => {}
+        // An interrupted connect goes on like one in progress.
+        Ok(()) | Err(rustix::io::Errno::INPROGRESS | rustix::io::Errno::INTR) => {}
         Err(e) => return Err(e.into()),
     }
     let stream = Async::new(TcpStream::from(socket))?;
