Shutdown: a client that stops within a command does not hold it up

Cause: the time for which a connection to be closed is still read was only looked at when something happened on it; a silent client kept it until its command timed out, 2.5 s, and for another second in which it could have read the error.

Change: the task wakes when that time is over.

--- a/crates/marshal/src/client_task.rs
+++ b/crates/marshal/src/client_task.rs
@@ -330,7 +330,9 @@
 
     /// When to look again if nothing happens.
     fn next_deadline(&self, reads: bool) -> Instant {
-        if reads && self.is_mid_command() {
+        if let Some(since) = self.closing_since.filter(|_| !self.stops_reading) {
+            since + MAX_CLOSING_TIME
+        } else if reads && self.is_mid_command() {
             self.command_started_at + duration(COMMAND_TIMEOUT)
         } else if reads && self.client.is_drained() {
             self.idle_until()
