--- a/crates/marshal/src/client.rs
+++ b/crates/marshal/src/client.rs
@@ -64,6 +64,8 @@
     last_activity: Cell<Time>,
     /// Whether a complete command was received on it.
     has_sent_command: Cell<bool>,
+    /// How long its first hit is assumed to have waited before the connection was accepted.
+    pub assumed_wait: Cell<Span>,
     /// Whether a hit was accepted on it.
     pub has_sent_hit: Cell<bool>,
     /// Since when a command has been received in part, if one has.
@@ -101,6 +103,7 @@
             accepted_at: now,
             last_activity: Cell::new(now),
             has_sent_command: Cell::new(false),
+            assumed_wait: Cell::new(Span::ZERO),
             has_sent_hit: Cell::new(false),
             receiving_since: Cell::new(None),
             closed: Cell::new(false),
--- a/crates/marshal/src/client_task.rs
+++ b/crates/marshal/src/client_task.rs
@@ -504,7 +504,7 @@
                         client: self.client.clone(),
                         sequence,
                         command: Command { block, request },
-                        received_at: self.server.registry.clock.now(),
+                        received_at: self.server.registry.clock.now() - self.client.assumed_wait.take(),
                     }),
                     Err(_) => {
                         self.server.metrics.command_refused(Refusal::NoMemory);
--- a/crates/marshal/src/clients.rs
+++ b/crates/marshal/src/clients.rs
@@ -36,7 +36,12 @@
 const SINGLE_COMMAND_IDLE_FACTOR: f64 = 0.1;
 /// A connection that never sent a hit, or is in the middle of a command, is kept at least this long when all are in use
 /// and others wait to be accepted.
-const MIN_UNPRODUCTIVE_TIME: Span = Span::millis(100);
+const MIN_UNPRODUCTIVE_TIME: Span = Span::millis(50);
+/// Bound on those of them closed at once.
+const MAX_UNPRODUCTIVE_EVICTIONS: usize = 64;
+/// A client's deadline runs while its connection waits to be accepted, for a time that is not known. It is taken as the time
+/// for which others may have waited, up to this, the slack that the operators allow for the time told to a node.
+const MAX_ASSUMED_WAIT: Duration = Duration::from_millis(150);
 /// A connection is kept at least this long when all are in use and others wait to be accepted.
 const MIN_TENURE: Span = Span::millis(1_000);
 /// State shared by all client connections.
@@ -94,12 +99,15 @@
     ) {
         let (mut accept_failing, mut last_rotation) = (false, Instant::now());
         let mut accepted_in_turn = 0;
+        // Since when connections may have waited to be accepted.
+        let mut waiting_since: Option<Instant> = None;
         loop {
             if self.count.get() >= self.max_connections
                 || self.ledger.available(Purpose::Clients) < CLIENT_CONNECTION_BYTES
             {
+                waiting_since.get_or_insert_with(Instant::now);
                 // No connection is idle: long-lived connections must not lock out all other clients.
-                if self.registry.close_unproductive(MIN_UNPRODUCTIVE_TIME, MAX_EVICTIONS) == 0
+                if self.registry.close_unproductive(MIN_UNPRODUCTIVE_TIME, MAX_UNPRODUCTIVE_EVICTIONS) == 0
                     && self.close_idle(MAX_EVICTIONS) == 0
                     && last_rotation.elapsed() >= ACCEPT_RETRY_INTERVAL * MAX_EVICTIONS as u32
                 {
@@ -116,6 +124,7 @@
                 Err(e) => {
                     match classify_accept_error(&e) {
                         AcceptFailure::NoneWaiting => {
+                            waiting_since = None;
                             listener.clear_readable();
                             listener.readable().await;
                         }
@@ -138,6 +147,8 @@
             let Some(client) = self.registry.register(stream) else { continue };
             self.count.set(self.count.get() + 1);
             self.metrics.connection_accepted();
+            let waited = waiting_since.map_or(Duration::ZERO, |since| since.elapsed().min(MAX_ASSUMED_WAIT));
+            client.assumed_wait.set(Span::nanos(waited.as_nanos() as u64));
             let active = self.registry.active_connections();
             // Clients use a limited number of connections for hits: if all of them stayed idle, the next hit
             // would find none.
