Laboratory: a refusing node ends connections on which it left a command unanswered

The stand-in was at fault, not the marshal.

Change: the modes that give no reply are named in one place, and the connection ends once the mode is another.

--- a/crates/lab/src/node.rs
+++ b/crates/lab/src/node.rs
@@ -53,6 +53,13 @@
     Refusing,
 }
 
+impl FaultMode {
+    /// Whether commands that are received get a reply.
+    fn replies(self) -> bool {
+        !matches!(self, FaultMode::Silent | FaultMode::NotReading | FaultMode::Refusing)
+    }
+}
+
 /// How a healthy node works and replies.
 #[derive(Clone, Debug)]
 pub struct NodeBehavior {
@@ -303,7 +310,7 @@
                 return;
             }
             // A command on this connection was left without a reply: the client would pair the next reply with it.
-            if skipped_reply && self.lock().fault_mode != FaultMode::Silent {
+            if skipped_reply && self.lock().fault_mode.replies() {
                 return;
             }
             let due = pending_replies.front().map(|reply| (reply.send_at, reply.min_commands_received));
@@ -340,7 +347,7 @@
                 Some(Ok(Some(Message::Array(words)))) => {
                     let words: Vec<_> =
                         words.iter().map(|w| String::from_utf8_lossy(w).into_owned()).collect();
-                    skipped_reply |= self.lock().fault_mode == FaultMode::Silent;
+                    skipped_reply |= !self.lock().fault_mode.replies();
                     if !self.receive_command(words, &mut pending_replies).await {
                         reset_on_close(stream);
                         return;
