--- a/crates/lab/src/node.rs
+++ b/crates/lab/src/node.rs
@@ -2,7 +2,7 @@
 //! according to its behavior and fault mode, and records what it received and executed.
 
 use crate::checker::SharedChecker;
-use crate::runtime::{Clock, Listener, Runtime, Stream};
+use crate::runtime::{Clock, Listener, ReservedPort, Runtime, Stream, listen_at};
 use crate::wire::{self, Message, MessageReader, list_value};
 use async_channel::{Receiver, Sender};
 use async_io::Timer;
@@ -150,6 +150,8 @@
     restarted: Receiver<()>,
     /// Closing it stops the accept loop.
     stop_sender: Sender<()>,
+    /// Once the node is stopped, connections to it are refused, and don't reach another process.
+    _port: Arc<ReservedPort>,
 }
 
 /// Load report in each reply, as in the protocol page.
@@ -169,7 +171,8 @@
     pub fn start(
         runtime: &Runtime, name: &str, seed: u64, behavior: NodeBehavior, checker: SharedChecker,
     ) -> Self {
-        let (listener, addr) = runtime.listen();
+        let port = ReservedPort::new().expect("a loopback port");
+        let (listener, addr) = listen_at(port.addr).expect("the reserved port");
         let (received_sender, received) = async_channel::bounded(MAX_QUEUED_EVENTS);
         let (restart_notifier, restarted) = async_channel::bounded(1);
         let (stop_sender, stopped) = async_channel::bounded(1);
@@ -197,6 +200,7 @@
             restart_notifier,
             restarted,
             stop_sender,
+            _port: Arc::new(port),
         };
         let accept = node.clone().accept(runtime.executor(), listener);
         runtime.spawn(or(accept, async move {
--- a/crates/lab/src/runtime.rs
+++ b/crates/lab/src/runtime.rs
@@ -2,8 +2,10 @@
 
 use async_executor::Executor;
 use async_io::Timer;
+use rustix::net::{AddressFamily, SocketType};
 use std::future::Future;
 use std::net::{Ipv4Addr, SocketAddr, TcpListener, TcpStream};
+use std::os::fd::OwnedFd;
 use std::sync::Arc;
 use std::thread::JoinHandle;
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
@@ -87,6 +89,24 @@
     }
 }
 
+/// Keeps a port from other processes for as long as it exists, also while nothing listens there.
+pub struct ReservedPort {
+    pub addr: SocketAddr,
+    _socket: OwnedFd,
+}
+
+impl ReservedPort {
+    /// Reserves a free port of the loopback address.
+    pub fn new() -> std::io::Result<Self> {
+        let socket = rustix::net::socket(AddressFamily::INET, SocketType::STREAM, None)?;
+        // Others that reuse addresses, as listeners do, may bind the port beside it.
+        rustix::net::sockopt::set_socket_reuseaddr(&socket, true)?;
+        rustix::net::bind(&socket, &SocketAddr::from((Ipv4Addr::LOCALHOST, 0)))?;
+        let addr = rustix::net::getsockname(&socket)?.try_into()?;
+        Ok(ReservedPort { addr, _socket: socket })
+    }
+}
+
 /// Listens on an address; port 0 stands for any free port.
 pub fn listen_at(addr: SocketAddr) -> std::io::Result<(Listener, SocketAddr)> {
     let listener = Listener::bind(addr)?;
