Budget: the plan takes the least capacity of a buffer from a module of its own

Cause: buffer used ledger, ledger plan, and plan buffer, for one constant. Change: crates/budget/src/sizes.rs.

--- a/crates/budget/src/buffer.rs
+++ b/crates/budget/src/buffer.rs
@@ -5,8 +5,7 @@
 use crate::purpose::Purpose;
 use std::ops::Range;
 
-/// The smallest capacity; most commands and replies fit.
-pub const MIN_CAPACITY_BYTES: usize = 512;
+pub use crate::sizes::MIN_CAPACITY_BYTES;
 /// A buffer becomes a block without a copy only if its unused capacity is at most its length divided by this.
 const MAX_UNUSED_DIVISOR: usize = 8;
 
--- a/crates/budget/src/lib.rs
+++ b/crates/budget/src/lib.rs
@@ -8,7 +8,8 @@
 //! - [`level`]: pressure levels with hysteresis.
 //! - [`ledger`]: charges as RAII guards, which release their bytes when dropped.
 //! - [`buffer`]: a growable buffer whose capacity is charged before it grows.
-//! - [`eviction`]: selection of the client connections to close when memory is needed.
+//! - [`sizes`]: sizes that buffers and the plan have in common.
+//! - [`eviction`]: selection of the client connections to close when memory or descriptors are needed.
 //!
 //! The crate does no I/O and reads no clock.
 
@@ -19,6 +20,7 @@
 pub mod plan;
 pub mod pool;
 pub mod purpose;
+pub mod sizes;
 
 pub use buffer::Buffer;
 pub use ledger::{BudgetExceeded, Charge, Ledger};
--- a/crates/budget/src/plan.rs
+++ b/crates/budget/src/plan.rs
@@ -1,9 +1,9 @@
 //! Caps and reserves by purpose, computed at startup from the limits of the process. Limits that are too small are
 //! rejected there, with the number of missing bytes.
 
-use crate::buffer::MIN_CAPACITY_BYTES;
 use crate::pool::Account;
 use crate::purpose::{FIXED_PURPOSES, MAX_PATH_GROUPS, Purpose};
+use crate::sizes::MIN_CAPACITY_BYTES;
 use std::fmt;
 
 const KIB: usize = 1024;
