Clients: 128 connections are accepted in a turn, not 16

Cause: with hundreds of connections that are always ready, a turn of accepting comes once in a round of all tasks, so that sixteen connections a turn left the others waiting for several rounds.

--- a/crates/marshal/src/clients.rs
+++ b/crates/marshal/src/clients.rs
@@ -22,7 +22,7 @@
 /// Interval of retries to accept after memory or descriptors ran out.
 const ACCEPT_RETRY_INTERVAL: Duration = Duration::from_millis(10);
 /// Connections accepted before other tasks get their turn.
-const MAX_ACCEPTS_PER_TURN: usize = 16;
+const MAX_ACCEPTS_PER_TURN: usize = 128;
 /// Interval of checks whether memory must be reclaimed; shorter than the time after which a client counts as
 /// stalled.
 const RECLAIM_INTERVAL: Duration = Duration::from_millis(250);
