Clients: a first command is read before its connection makes room

Found by reading the change: a connection chosen to make room could be closed with its first command unread, and stayed chosen after a hit had come on it; at shutdown a client that sent without pause was read further while its refusals were unsent, as the condition had been lost. Threads of tests that stood twice are in the laboratory now (background.rs).

--- a/crates/lab/src/lib.rs
+++ b/crates/lab/src/lib.rs
@@ -4,7 +4,8 @@
 //! - [`node`], [`discovery`], [`platform`]: stand-ins for the other parties, written from the operators' protocol
 //!   page.
 //! - [`load`]: well-behaved clients that send hits in an open loop; [`misbehaving`]: clients that violate the protocol
-//!   or flood the marshal; [`raw_client`]: one blocking client that sends any bytes.
+//!   or flood the marshal; [`raw_client`]: one blocking client that sends any bytes;
+//!   [`background`]: threads that play them.
 //! - [`wire`]: RESP messages of the stand-ins.
 //! - [`site`]: settings and configuration of a small site; [`program`]: a marshal as a child process, observed from
 //!   outside.
@@ -18,6 +19,7 @@
 //! Handles are plain values: tests are written as ordinary sequential code, while the stand-ins run on their own
 //! thread.
 
+pub mod background;
 pub mod checker;
 pub mod cost;
 pub mod demo;
--- a/crates/marshal/src/client_task.rs
+++ b/crates/marshal/src/client_task.rs
@@ -36,7 +36,7 @@
 enum CloseReason {
     /// The client closed its connection, or it failed.
     ClientLeft,
-    /// Unanswered for long, or its output could not be written or kept.
+    /// Its output could not be written or kept.
     Aborted,
     /// No command for the idle timeout.
     Idle,
@@ -268,7 +268,7 @@
         if !client.is_drained() {
             return None;
         }
-        if client.evict_unproductive.get() {
+        if client.evict_unproductive.get() && self.has_no_first_command_unread() {
             return Some(CloseReason::Unproductive);
         }
         if let Some(error) = self.protocol_error {
@@ -297,6 +297,11 @@
         client.is_idle().then_some(reason)
     }
 
+    /// Whether closing now loses no first command of a client that has just come.
+    fn has_no_first_command_unread(&self) -> bool {
+        self.client.has_sent_command() || self.is_mid_command() || self.client.is_idle()
+    }
+
     /// Whether the client, which has ended its sending, has taken no replies for the idle timeout either.
     fn takes_no_replies_since(&self, ended_at: Instant) -> bool {
         let last_activity = self.server.registry.clock.instant(self.client.last_activity());
@@ -314,8 +319,10 @@
 
     /// Whether to read next, with the memory reserved for it.
     fn prepare_read(&mut self) -> bool {
-        let wanted =
-            self.protocol_error.is_none() && self.input != Input::Exhausted && self.client.accepts_commands();
+        let wanted = self.protocol_error.is_none()
+            && self.input != Input::Exhausted
+            && !self.stops_reading
+            && self.client.accepts_commands();
         if !wanted {
             return false;
         }
@@ -499,6 +506,7 @@
             Ok(Request::Hit(request)) => {
                 let (group, sequence) = (request.group, self.client.reserve_sequence());
                 self.client.has_sent_hit.set(true);
+                self.client.evict_unproductive.set(false);
                 match self.received.take_block_with_extra(length, Purpose::in_flight(group), HIT_BYTES) {
                     Ok(block) => self.server.inbox.push_hit(IncomingHit {
                         client: self.client.clone(),
--- a/crates/marshal/tests/crowds.rs
+++ b/crates/marshal/tests/crowds.rs
@@ -5,10 +5,11 @@
 use std::io::{Read, Write};
 use std::net::{Shutdown, TcpStream};
 use std::path::Path;
-use std::sync::atomic::{AtomicBool, Ordering};
-use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::sync::atomic::Ordering;
+use std::sync::{Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 use stonescale_lab::World;
+use stonescale_lab::background::BackgroundThreads;
 use stonescale_lab::load::LoadPlan;
 use stonescale_lab::node::NodeBehavior;
 use stonescale_lab::site::{Limits, REPEATABLE};
@@ -29,30 +30,6 @@
     (World::start(binary, 4, limits, &NodeBehavior::default(), &[]).unwrap(), guard)
 }
 
-/// Threads that stop when this is dropped.
-struct Background {
-    stopping: Arc<AtomicBool>,
-    threads: Vec<std::thread::JoinHandle<()>>,
-}
-
-impl Background {
-    fn new() -> Self {
-        Background { stopping: Arc::default(), threads: Vec::new() }
-    }
-
-    fn spawn(&mut self, work: impl FnOnce(&AtomicBool) + Send + 'static) {
-        let stopping = self.stopping.clone();
-        self.threads.push(std::thread::spawn(move || work(&stopping)));
-    }
-}
-
-impl Drop for Background {
-    fn drop(&mut self) {
-        self.stopping.store(true, Ordering::SeqCst);
-        self.threads.drain(..).for_each(|thread| drop(thread.join()));
-    }
-}
-
 fn large_command() -> Vec<u8> {
     encode_command(&[b"SVC.SUBMIT", b"1", b"9b1f", b"c=book,t=acme,d=1400", &vec![b'b'; 60_000]])
 }
@@ -83,8 +60,8 @@
 const CROWD: usize = 600;
 const CROWD_THREADS: usize = 6;
 
-fn run_crowd(crowd: Crowd, world: &World) -> Background {
-    let mut background = Background::new();
+fn run_crowd(crowd: Crowd, world: &World) -> BackgroundThreads {
+    let mut background = BackgroundThreads::default();
     let addr = world.program.addr;
     for part in 0..CROWD_THREADS {
         background.spawn(move |stopping| {
@@ -187,8 +164,8 @@
 }
 
 /// One connection on which commands are written without pause, and what comes back is read.
-fn run_flood(flood: Flood, world: &World) -> Background {
-    let mut background = Background::new();
+fn run_flood(flood: Flood, world: &World) -> BackgroundThreads {
+    let mut background = BackgroundThreads::default();
     let stream = TcpStream::connect(world.program.addr).unwrap();
     let mut reader = stream.try_clone().unwrap();
     background.spawn(move |_| {
--- a/crates/marshal/tests/fault_soak.rs
+++ b/crates/marshal/tests/fault_soak.rs
@@ -11,11 +11,11 @@
 use std::net::TcpStream;
 use std::ops::RangeInclusive;
 use std::path::Path;
-use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::thread::JoinHandle;
 use std::time::{Duration, Instant};
 use stonescale_lab::World;
+use stonescale_lab::background::BackgroundThreads;
 use stonescale_lab::checker::SharedChecker;
 use stonescale_lab::load::{HitKind, LoadPlan};
 use stonescale_lab::node::{FaultMode, NodeBehavior};
@@ -39,24 +39,6 @@
     first.parse().unwrap()..=last.parse().unwrap()
 }
 
-/// Work in the background until this is dropped.
-struct Background {
-    stopping: Arc<AtomicBool>,
-    threads: Vec<JoinHandle<()>>,
-}
-
-impl Background {
-    fn spawn(&mut self, work: impl FnOnce(&AtomicBool) + Send + 'static) {
-        let stopping = self.stopping.clone();
-        self.threads.push(std::thread::spawn(move || work(&stopping)));
-    }
-
-    fn stop(&mut self) {
-        self.stopping.store(true, Ordering::SeqCst);
-        self.threads.drain(..).for_each(|thread| thread.join().unwrap());
-    }
-}
-
 /// What a client needs to send hits and to record them.
 #[derive(Clone)]
 struct Site {
@@ -167,8 +149,8 @@
     }
 }
 
-fn start_clients(site: &Site, rng: &mut Pcg64Mcg, seed: u64) -> Background {
-    let mut background = Background { stopping: Arc::default(), threads: Vec::new() };
+fn start_clients(site: &Site, rng: &mut Pcg64Mcg, seed: u64) -> BackgroundThreads {
+    let mut background = BackgroundThreads::default();
     let (leaving, mut leaving_rng) = (site.clone(), Pcg64Mcg::seed_from_u64(seed ^ 0x1ea7e));
     background.spawn(move |stopping| {
         let mut next_id = 1 << 40;
