Clients: a connection ends only when no whole command that was read is left

Callers would have seen: at the end of the time for which a connection is still read after SIGTERM, or when it made room for others, commands that had been read whole got no answer.

Cause: close_reason looked at replies and at the end of input, but not at commands that a turn of 32 had left in the buffer, or that waited for unsent replies to become fewer. A client that had half-closed could lose commands the same way.

Change: one flag says that commands may be left undispatched, whatever ended the turn; no connection ends by itself while it is set. The log of a connection's end says how many bytes were left over.

--- a/crates/marshal/src/client_task.rs
+++ b/crates/marshal/src/client_task.rs
@@ -99,8 +99,9 @@
     closing_since: Option<Instant>,
     /// Its client has sent for too long since then.
     stops_reading: bool,
-    /// Further complete commands may have been received.
-    has_more: bool,
+    /// Complete commands may have been received that are not dispatched yet: the turn was over, or the unsent replies were
+    /// at their limit.
+    has_undispatched: bool,
 }
 
 impl ClientTask {
@@ -121,7 +122,7 @@
             input_ended_at: None,
             closing_since: None,
             stops_reading: false,
-            has_more: false,
+            has_undispatched: false,
         })
     }
 
@@ -141,9 +142,10 @@
         let commands = self.client.commands_received();
         let unanswered = self.client.close();
         debug!(
-            "client {} closed: {reason:?}, {commands} commands, {} hits unanswered",
+            "client {} closed: {reason:?}, {commands} commands, {} hits unanswered, {} bytes left over",
             self.client.number,
-            unanswered.len()
+            unanswered.len(),
+            self.received.len()
         );
         self.give_up(unanswered);
         self.server.metrics.connection_closed(reason.name());
@@ -189,7 +191,7 @@
             if let Some(reason) = self.close_reason() {
                 return reason;
             }
-            if self.has_more {
+            if self.has_undispatched && self.client.accepts_commands() {
                 // So that a client that sends without pause does not starve the others.
                 yield_now().await;
                 continue;
@@ -232,8 +234,8 @@
 
     /// Dispatches what has been received, and notices a command that is not completed in time.
     fn dispatch_turn(&mut self) {
-        self.has_more = false;
         if self.protocol_error.is_some() || !self.is_mid_command() {
+            self.has_undispatched = false;
             return;
         }
         let before = self.client.commands_received();
@@ -246,10 +248,8 @@
         {
             error = error.or(Some("command not ended in time"));
         }
-        let ended_within_command = self.input == Input::Exhausted
-            && self.is_mid_command()
-            && !self.has_more
-            && self.client.accepts_commands();
+        let ended_within_command =
+            self.input == Input::Exhausted && self.is_mid_command() && !self.has_undispatched;
         if ended_within_command {
             error = error.or(Some("connection ended within a command"));
         }
@@ -265,7 +265,7 @@
         if self.input_ended_at.is_some_and(|at| self.takes_no_replies_since(at)) {
             return Some(CloseReason::ClientLeft);
         }
-        if !client.is_drained() {
+        if !client.is_drained() || self.has_undispatched {
             return None;
         }
         if client.evict_unproductive.get() && self.has_no_first_command_unread() {
@@ -465,10 +465,14 @@
     /// Dispatches complete commands, as many as one turn allows.
     fn dispatch_commands(&mut self) -> Result<(), &'static str> {
         self.answer_skipped();
+        self.has_undispatched = false;
         for _ in 0..MAX_COMMANDS_PER_TURN {
-            if self.received.is_empty() || !self.client.accepts_commands() {
+            if self.received.is_empty() {
                 return Ok(());
             }
+            if !self.client.accepts_commands() {
+                break;
+            }
             let bytes = self.received.as_slice();
             if self.scanner.is_at_message_start() && bytes[0] != b'*' {
                 return Err("expected a command as an array of bulk strings");
@@ -482,7 +486,7 @@
             self.scanner.reset();
             self.dispatch(length, parsed);
         }
-        self.has_more = !self.received.is_empty() && self.client.accepts_commands();
+        self.has_undispatched = !self.received.is_empty();
         Ok(())
     }
 
--- a/crates/marshal/tests/shutdown.rs
+++ b/crates/marshal/tests/shutdown.rs
@@ -54,3 +54,29 @@
         assert!(all_answered || !all_can_be_read && answered > 0, "{answered} of {sent_in_time} answered");
     }
 }
+
+#[test]
+fn no_command_that_was_read_whole_is_left_unanswered_when_a_connection_ends() {
+    let binary = Path::new(env!("CARGO_BIN_EXE_stonescale"));
+    let args = ["--log", "debug"];
+    let world = World::start(binary, 1, Limits::default(), &NodeBehavior::default(), &args).unwrap();
+    let ping = b"*1\r\n$4\r\nPING\r\n";
+    let threads: Vec<_> = (0..2 * CONNECTIONS)
+        .map(|_| {
+            let client = RawClient::connect(world.program.addr).unwrap();
+            let bursts = std::iter::repeat_with(|| ping.repeat(1_000));
+            std::thread::spawn(move || send_until_closed(client, bursts, Duration::ZERO).unwrap())
+        })
+        .collect();
+    world.program.wait_for_log_line("hits pending", EARLIEST_KILL).unwrap();
+    world.program.signal("TERM");
+    for _ in 0..threads.len() {
+        let line = world.program.wait_for_log_line("closed: Drained", EARLIEST_KILL).unwrap();
+        let left_over = line.split("unanswered, ").nth(1).and_then(|text| text.split(' ').next());
+        let left_over: usize = left_over.unwrap().parse().unwrap();
+        assert!(left_over < ping.len(), "{line}");
+    }
+    for thread in threads {
+        thread.join().unwrap();
+    }
+}
