Log: lines that are still queued when the marshal ends are written

Seen: no_command_that_was_read_whole_is_left_unanswered_when_a_connection_ends failed in the whole run of tests beside five busy loops: the process had ended, and lines about the last connections had not come.

Cause: the log's thread writes what is queued when its guard is dropped; the guard belongs to a handle that tasks hold up to the end of the process, so that it never was. The last lines were lost whenever that thread was behind.

Change: serve ends the log itself, after the reactor.

No bound or check was changed.

--- a/crates/marshal/src/logger.rs
+++ b/crates/marshal/src/logger.rs
@@ -1,6 +1,7 @@
 //! The program's log: one line per event on standard error, as text or JSON, with a rate limit. A separate thread
 //! writes the lines, and lines for which the queue has no room are left out: hits never wait for the log.
 
+use std::cell::RefCell;
 use std::fmt;
 use std::io::{self, Write};
 use std::sync::atomic::{AtomicU32, AtomicUsize, Ordering};
@@ -25,12 +26,19 @@
 
 /// Keeps the log running; dropping it writes the queued lines.
 pub struct LogHandle {
-    _guard: WorkerGuard,
+    /// Writes the queued lines when it is dropped.
+    guard: RefCell<Option<WorkerGuard>>,
     lines_per_second: Arc<AtomicU32>,
     queued_bytes: Arc<AtomicUsize>,
 }
 
 impl LogHandle {
+    /// Writes the queued lines and ends the log. Tasks may hold the handle up to the end of the process, so that dropping it is
+    /// not enough.
+    pub fn finish(&self) {
+        self.guard.take();
+    }
+
     /// Changes the rate limit.
     pub fn set_lines_per_second(&self, lines_per_second: u32) {
         self.lines_per_second.store(lines_per_second, Ordering::Relaxed);
@@ -96,7 +104,7 @@
         max_queued_bytes,
         queued_bytes: queued_bytes.clone(),
     };
-    (writer, LogHandle { _guard: guard, lines_per_second, queued_bytes })
+    (writer, LogHandle { guard: RefCell::new(Some(guard)), lines_per_second, queued_bytes })
 }
 
 /// Formats the time as Unix seconds with milliseconds.
--- a/crates/marshal/src/serve.rs
+++ b/crates/marshal/src/serve.rs
@@ -176,6 +176,7 @@
     executor.spawn(core.run()).detach();
     let report_every = Rc::new(Cell::new(operator.memory.report_every));
     let log = Rc::new(log);
+    let log_at_exit = log.clone();
     let targets = ReloadTargets {
         log: log.clone(),
         ledger: ledger.clone(),
@@ -209,7 +210,9 @@
         or(all_closed, wait_for_signal(&shutdown_signals)).await;
         info!("stopped, {} client connections left", clients.count());
     };
-    reactor::run(&executor, until_shutdown).map_err(|e| format!("waiting for sockets: {e}"))
+    let result = reactor::run(&executor, until_shutdown).map_err(|e| format!("waiting for sockets: {e}"));
+    log_at_exit.finish();
+    result
 }
 
 /// The parts that a reload changes.
