--- a/crates/lab/src/node.rs
+++ b/crates/lab/src/node.rs
@@ -33,6 +33,17 @@
     ServeAfterNextCommand,
     /// Sends no reply to this command, nor to those after it on the same connection.
     NoReply,
+    /// Drops the command without a word: it is not executed, and later commands get their replies.
+    Drop,
+    /// Executes the command; its reply is lost, and later commands get theirs.
+    LoseReply,
+}
+
+/// What becomes of a command that a node takes.
+enum Fate {
+    Dropped,
+    ReplyLost,
+    Replied,
 }
 
 /// How a node handles connections and commands.
@@ -53,13 +64,6 @@
     Refusing,
 }
 
-impl FaultMode {
-    /// Whether commands that are received get a reply.
-    fn replies(self) -> bool {
-        !matches!(self, FaultMode::Silent | FaultMode::NotReading | FaultMode::Refusing)
-    }
-}
-
 /// How a healthy node works and replies.
 #[derive(Clone, Debug)]
 pub struct NodeBehavior {
@@ -77,6 +81,16 @@
     pub malformed_rate: f64,
     /// Share of the commands, 0 to 1, that get the value of another hit.
     pub wrong_value_rate: f64,
+    /// Share of the commands, 0 to 1, that are turned away with `-BUSY`.
+    pub busy_rate: f64,
+    /// Share of the commands, 0 to 1, that are dropped without a word.
+    pub dropped_rate: f64,
+    /// Share of the commands, 0 to 1, that are executed and whose reply is lost.
+    pub lost_reply_rate: f64,
+    /// Share of the replies, 0 to 1, that are sent a second time, unless another command has come by then.
+    pub second_copy_rate: f64,
+    /// Time from a reply to its second copy.
+    pub second_copy_delay: Duration,
     /// Factor on the work of each command.
     pub work_factor: f64,
     /// If set, only this path group has errors, wrong values and the work factor.
@@ -95,6 +109,11 @@
             error_rate: 0.0,
             malformed_rate: 0.0,
             wrong_value_rate: 0.0,
+            busy_rate: 0.0,
+            dropped_rate: 0.0,
+            lost_reply_rate: 0.0,
+            second_copy_rate: 0.0,
+            second_copy_delay: Duration::from_millis(5),
             work_factor: 1.0,
             affected_group: None,
             dedup_window: Duration::from_millis(1_000),
@@ -301,7 +320,6 @@
     async fn serve(&self, stream: &Arc<Stream>) {
         let mut messages = MessageReader::default();
         let mut pending_replies: VecDeque<PendingReply> = VecDeque::new();
-        let mut skipped_reply = false;
         loop {
             let mut paused_reading = false;
             while self.lock().fault_mode == FaultMode::NotReading {
@@ -313,10 +331,6 @@
                 // now.
                 return;
             }
-            // A command on this connection was left without a reply: the client would pair the next reply with it.
-            if skipped_reply && self.lock().fault_mode.replies() {
-                return;
-            }
             let due = pending_replies.front().map(|reply| (reply.send_at, reply.min_commands_received));
             let next = async { Some(messages.next(&mut &**stream).await) };
             let answer = async {
@@ -351,7 +365,6 @@
                 Some(Ok(Some(Message::Array(words)))) => {
                     let words: Vec<_> =
                         words.iter().map(|w| String::from_utf8_lossy(w).into_owned()).collect();
-                    skipped_reply |= !self.lock().fault_mode.replies();
                     if !self.receive_command(words, &mut pending_replies).await {
                         reset_on_close(stream);
                         return;
@@ -391,6 +404,8 @@
                 pending_replies.push_back(PendingReply::at(now + NEVER_SENT_DELAY, Vec::new()))
             }
             (None, FaultMode::Silent | FaultMode::NotReading | FaultMode::Refusing) => {}
+            (Some(ScriptedReply::Drop), _) => {}
+            (Some(ScriptedReply::LoseReply), _) => self.record_execution(&id, idempotency_key.as_deref()),
             (Some(ScriptedReply::Send(text)), _) => {
                 self.queue_scripted_reply(&id, now, text, pending_replies)
             }
@@ -414,16 +429,56 @@
                 });
             }
             (None, FaultMode::Healthy | FaultMode::WithholdingLastByte) => {
-                let (ready_at, text) = self.draw_reply(&id, &fields);
-                self.record_execution(&id, idempotency_key.as_deref());
-                // Replies go out in the order of their commands.
-                let ready_at = pending_replies.back().map_or(ready_at, |last| ready_at.max(last.send_at));
-                pending_replies.push_back(PendingReply::at(ready_at, text));
+                self.handle_by_behavior(&id, &fields, idempotency_key.as_deref(), pending_replies);
             }
         }
         true
     }
 
+    /// Drops, turns away or executes a command, as the behavior draws it.
+    fn handle_by_behavior(
+        &self, id: &str, fields: &str, idempotency_key: Option<&str>,
+        pending_replies: &mut VecDeque<PendingReply>,
+    ) {
+        if self.draw(|behavior| behavior.busy_rate) {
+            return self.queue_scripted_reply(id, Instant::now(), b"-BUSY\r\n".to_vec(), pending_replies);
+        }
+        let fate = self.draw_fate();
+        if matches!(fate, Fate::Dropped) {
+            return;
+        }
+        let (ready_at, text) = self.draw_reply(id, fields);
+        self.record_execution(id, idempotency_key);
+        if matches!(fate, Fate::ReplyLost) {
+            return;
+        }
+        // Replies go out in the order of their commands.
+        let ready_at = pending_replies.back().map_or(ready_at, |last| ready_at.max(last.send_at));
+        let second_copy = self.draw(|behavior| behavior.second_copy_rate).then(|| text.clone());
+        pending_replies.push_back(PendingReply::at(ready_at, text));
+        if let Some(text) = second_copy {
+            let send_at = ready_at + self.lock().behavior.second_copy_delay;
+            pending_replies.push_back(PendingReply { stray: true, ..PendingReply::at(send_at, text) });
+        }
+    }
+
+    fn draw_fate(&self) -> Fate {
+        if self.draw(|behavior| behavior.dropped_rate) {
+            Fate::Dropped
+        } else if self.draw(|behavior| behavior.lost_reply_rate) {
+            Fate::ReplyLost
+        } else {
+            Fate::Replied
+        }
+    }
+
+    /// Draws whether what the behavior does at this rate happens. Rates of zero take nothing from the random sequence.
+    fn draw(&self, rate: impl Fn(&NodeBehavior) -> f64) -> bool {
+        let mut inner = self.lock();
+        let rate = rate(&inner.behavior);
+        rate > 0.0 && inner.rng.random_bool(rate.min(1.0))
+    }
+
     /// Queues scripted bytes as the reply to a command that does not count as executed.
     fn queue_scripted_reply(
         &self, id: &str, send_at: Instant, text: Vec<u8>, pending_replies: &mut VecDeque<PendingReply>,
--- a/crates/marshal/src/client.rs
+++ b/crates/marshal/src/client.rs
@@ -4,7 +4,7 @@
 use crate::clock::Clock;
 use crate::command;
 use crate::reactor::Async;
-use crate::turn::{Signal, is_open_without_input, try_write, write_available};
+use crate::turn::{PendingInput, Signal, pending_input, try_write, write_available};
 use std::cell::{Cell, RefCell};
 use std::net::TcpStream;
 use std::rc::{Rc, Weak};
@@ -324,7 +324,7 @@
 
     /// Whether closing now loses nothing: no command is in progress and no unread input is pending.
     pub fn is_idle(&self) -> bool {
-        self.is_drained() && self.stream().is_some_and(|stream| is_open_without_input(&stream))
+        self.is_drained() && self.stream().is_some_and(|stream| pending_input(&stream) == PendingInput::None)
     }
 
     /// Whether the client has ended its sending or its connection has failed.
--- a/crates/marshal/src/core.rs
+++ b/crates/marshal/src/core.rs
@@ -8,7 +8,7 @@
 use crate::endings::EndReason;
 use crate::inbox::{ControlEvent, HitEvent, Inbox, IncomingHit, NodeEntry, StageReport};
 use crate::metrics::{Answer, Metrics, Refusal};
-use crate::nodes::{NodeConnection, NodePool};
+use crate::nodes::{ForwardPlace, NodePool, ReadyForward};
 use crate::platform::Platform;
 use crate::reactor;
 use futures_lite::future::{or, yield_now};
@@ -36,6 +36,8 @@
 enum TimerEvent {
     MarshalTimer(u64),
     ForwardTimeout(u32, u8),
+    /// Connections that rest may be used again by now; forwards wait for them.
+    ServeWaitingForwards,
     Sweep,
 }
 
@@ -58,8 +60,8 @@
 /// One forward of a pending hit.
 struct ForwardState {
     sent_at: Time,
-    /// The connection until the forward's end has been reported; `None` if no connection was available.
-    connection: Option<Rc<NodeConnection>>,
+    /// Where it is until its end has been reported; `None` if it could not be sent.
+    place: Option<ForwardPlace>,
     ended: bool,
     /// Fires when the forward's timeout expires.
     timeout_timer: Option<TimerHandle>,
@@ -82,6 +84,8 @@
     free_numbers: Vec<usize>,
     inbox: Rc<Inbox>,
     nodes: NodePool,
+    /// When the waiting forwards are looked at next by a timer.
+    waiting_forwards_served_at: Option<Time>,
     discovery: Discovery,
     platform: Rc<Platform>,
     metrics: Rc<Metrics>,
@@ -107,6 +111,7 @@
             free_numbers,
             inbox,
             nodes,
+            waiting_forwards_served_at: None,
             discovery,
             platform,
             metrics,
@@ -160,8 +165,8 @@
         self.metrics.hit_ended(answer);
         pending.client.reply(pending.sequence, reply());
         for (hop, forward) in pending.forwards.iter().enumerate().filter(|(_, forward)| !forward.ended) {
-            if let Some(connection) = &forward.connection {
-                self.nodes.withdraw_forward(connection, ForwardKey { hit, hop: hop as u8 });
+            if let Some(place) = &forward.place {
+                self.nodes.withdraw_forward(place, ForwardKey { hit, hop: hop as u8 });
             }
         }
     }
@@ -183,10 +188,45 @@
         }
     }
 
-    fn abort_forward(&self, hit: u32, hop: u8, reason: EndReason) {
+    fn abort_forward(&mut self, hit: u32, hop: u8, reason: EndReason) {
         let forward = self.hits.get(hit).and_then(|pending| pending.forwards.get(usize::from(hop)));
-        if let Some(ForwardState { connection: Some(connection), ended: false, .. }) = forward {
-            self.nodes.abort_forward(connection, ForwardKey { hit, hop }, reason);
+        if let Some(ForwardState { place: Some(place), ended: false, .. }) = forward {
+            self.nodes.abort_forward(place, ForwardKey { hit, hop }, reason);
+        }
+    }
+
+    /// Sends the waiting forwards for which there is a connection now.
+    fn serve_waiting_forwards(&mut self) {
+        loop {
+            match self.nodes.next_ready() {
+                Ok(ready) => self.send_ready(ready),
+                Err(look_again_at) => return self.schedule_waiting_forwards(look_again_at),
+            }
+        }
+    }
+
+    fn send_ready(&mut self, ReadyForward { forward, connection }: ReadyForward) {
+        let ForwardKey { hit, hop } = forward.key;
+        let Some(pending) = self.hits.get_mut(hit) else { return };
+        let Some(state) = pending.forwards.get_mut(usize::from(hop)).filter(|state| !state.ended) else {
+            return;
+        };
+        let now = self.clock.now();
+        // The node is told what is left of the time by now.
+        match connection.send(forward.key, &pending.command, forward.deadline - now, now) {
+            Ok(()) => state.place = Some(ForwardPlace::Sent(connection)),
+            Err(reason) => {
+                state.place = None;
+                self.inbox.push_forward_end(hit, hop, reason, false);
+            }
+        }
+    }
+
+    fn schedule_waiting_forwards(&mut self, at: Option<Time>) {
+        let Some(at) = at else { return };
+        if self.waiting_forwards_served_at.is_none_or(|scheduled| at < scheduled) {
+            self.waiting_forwards_served_at = Some(at);
+            self.timers.schedule(at, TimerEvent::ServeWaitingForwards);
         }
     }
 }
@@ -195,33 +235,24 @@
     fn forward(&mut self, hit: u32, node: u64, timeout: Span) {
         let Some(pending) = self.hits.get_mut(hit) else { return };
         let hop = pending.forwards.len() as u8;
-        let connection = match pending.answered {
+        let place = match pending.answered {
             true => Err(EndReason::NoSuchNode),
-            false => self.nodes.forward(node as usize, hit, hop, &pending.command, timeout),
+            false => self.nodes.forward(node as usize, ForwardKey { hit, hop }, &pending.command, timeout),
         };
-        match connection {
-            Ok(connection) => {
+        let mut timeout_timer = None;
+        match &place {
+            Ok(_) => {
                 trace!("hit {} forward {hop} to {}", pending.command.id(), self.nodes.addr(node as usize));
-                let timeout_timer =
-                    Some(self.timers.schedule(self.now + timeout, TimerEvent::ForwardTimeout(hit, hop)));
-                pending.forwards.push(ForwardState {
-                    sent_at: self.now,
-                    connection: Some(connection),
-                    ended: false,
-                    timeout_timer,
-                });
+                let timeout_event = TimerEvent::ForwardTimeout(hit, hop);
+                timeout_timer = Some(self.timers.schedule(self.now + timeout, timeout_event));
             }
             Err(reason) => {
-                pending.forwards.push(ForwardState {
-                    sent_at: self.now,
-                    connection: None,
-                    ended: false,
-                    timeout_timer: None,
-                });
                 debug!("forward could not be sent: {reason:?}");
-                self.inbox.push_forward_end(hit, hop, reason, false);
+                self.inbox.push_forward_end(hit, hop, *reason, false);
             }
         }
+        let (sent_at, place, ended) = (self.now, place.ok(), false);
+        pending.forwards.push(ForwardState { sent_at, place, ended, timeout_timer });
     }
 
     fn bounce(&mut self, hit: u32, retry_after: Span) {
@@ -319,6 +350,9 @@
                     self.handle_forward_end(hit, hop, reason, sent, value)
                 }
                 HitEvent::ClientLeft(hits) => hits.into_iter().for_each(|hit| self.handle_client_left(hit)),
+                HitEvent::NodeConnection { node, addr, change } => {
+                    self.host.nodes.connection_changed(node, addr, change)
+                }
             }
         }
         let now = self.host.clock.now();
@@ -329,6 +363,8 @@
                 TimerEvent::ForwardTimeout(hit, hop) => {
                     self.host.abort_forward(hit, hop, EndReason::WaitedOut)
                 }
+                // They are served at the end of the batch.
+                TimerEvent::ServeWaitingForwards => self.host.waiting_forwards_served_at = None,
                 TimerEvent::Sweep => {
                     let drop_removed =
                         self.host.ledger.reclaim_action(Purpose::Nodes) == ReclaimAction::DropRemovedNodes;
@@ -347,6 +383,7 @@
             let Some(hit) = self.pop_next(&inbox.incoming_hits) else { break };
             self.handle_hit(hit);
         }
+        self.host.serve_waiting_forwards();
     }
 
     /// Takes the next item of a queue and updates the current time.
@@ -458,7 +495,7 @@
         let now = self.host.now;
         let Some(pending) = self.host.hits.get_mut(hit) else { return };
         let Some(forward) = pending.forwards.get_mut(usize::from(hop)).filter(|f| !f.ended) else { return };
-        (forward.connection, forward.ended) = (None, true);
+        (forward.place, forward.ended) = (None, true);
         if let Some(timeout_timer) = forward.timeout_timer.take() {
             self.host.timers.cancel(timeout_timer);
         }
--- a/crates/marshal/src/inbox.rs
+++ b/crates/marshal/src/inbox.rs
@@ -55,6 +55,17 @@
     },
     /// A client disconnected; these hits of it are unanswered.
     ClientLeft(Vec<u32>),
+    /// A connection to the node with this number, listed at `addr`, was established or has ended.
+    NodeConnection { node: usize, addr: SocketAddr, change: NodeConnectionChange },
+}
+
+/// What became of a connection to a node.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum NodeConnectionChange {
+    Established,
+    /// It could not be established.
+    NotEstablished(EndReason),
+    Ended,
 }
 
 /// A hit received from a client: the connection and sequence number to reply to, the command, and when it
--- a/crates/marshal/src/main.rs
+++ b/crates/marshal/src/main.rs
@@ -15,6 +15,8 @@
 mod metrics;
 #[cfg(feature = "mutants")]
 mod mutants;
+mod node_connection;
+mod node_reply;
 mod nodes;
 mod platform;
 mod reactor;
--- a/crates/marshal/src/metrics.rs
+++ b/crates/marshal/src/metrics.rs
@@ -71,6 +71,9 @@
     hits: Family<AnswerLabel, Counter>,
     hits_given_up: Family<GiveUpLabel, Counter>,
     forwards: Family<ForwardLabel, Counter>,
+    forwards_waited: Counter,
+    node_connections_opened: Counter,
+    node_inputs_unasked: Counter,
     /// The counters of the usual way of a hit, which need no look-up.
     hits_delivered: Counter,
     forwards_served: Counter,
@@ -86,6 +89,9 @@
             hits: Family::default(),
             hits_given_up: Family::default(),
             forwards: Family::default(),
+            forwards_waited: Counter::default(),
+            node_connections_opened: Counter::default(),
+            node_inputs_unasked: Counter::default(),
             hits_delivered: Counter::default(),
             forwards_served: Counter::default(),
         };
@@ -112,6 +118,21 @@
             "Ended forwards by reason and whether they were written",
             metrics.forwards.clone(),
         );
+        registry.register(
+            "forwards_waited",
+            "Forwards that waited for a connection to their node",
+            metrics.forwards_waited.clone(),
+        );
+        registry.register(
+            "node_connections_opened",
+            "Connections to nodes that were begun",
+            metrics.node_connections_opened.clone(),
+        );
+        registry.register(
+            "node_inputs_unasked",
+            "Connections to nodes closed for input that no forward had asked for",
+            metrics.node_inputs_unasked.clone(),
+        );
         let delivered = AnswerLabel { answer: Answer::Delivered };
         metrics.hits_delivered = metrics.hits.get_or_create(&delivered).clone();
         let served = ForwardLabel { reason: EndReason::Served, sent: true };
@@ -156,6 +177,21 @@
         self.forwards.get_or_create(&ForwardLabel { reason, sent }).inc();
     }
 
+    /// Counts a forward that waits for a connection to its node.
+    pub fn forward_waited(&self) {
+        self.forwards_waited.inc();
+    }
+
+    /// Counts a connection to a node that is begun.
+    pub fn node_connection_opened(&self) {
+        self.node_connections_opened.inc();
+    }
+
+    /// Counts a connection closed for input that no forward had asked for.
+    pub fn node_input_unasked(&self) {
+        self.node_inputs_unasked.inc();
+    }
+
     /// Logs the counters that are not zero, one event for each family.
     pub fn log(&self) {
         let mut text = String::new();
--- a/crates/marshal/src/nodes.rs
+++ b/crates/marshal/src/nodes.rs
@@ -1,39 +1,28 @@
-//! Connections to nodes and the forwards they carry. Replies on a connection come in order, so each forward
-//! gets a connection of its own where one is available; otherwise forwards are pipelined.
+//! The nodes, the connections to them and the forwards that wait for one. A connection carries one forward at a time:
+//! replies carry no id, so that only the connection tells whose they are.
 
-use crate::clock::{Clock, duration};
+use crate::clock::Clock;
 use crate::command::{Command, MAX_VALUE_BYTES};
 use crate::endings::EndReason;
-use crate::inbox::{HitEvent, Inbox};
-use crate::reactor::Async;
-use crate::turn::{
-    Interest, Signal, Wakeup, connect, is_open_without_input, read_available, try_write_vectored,
-    wait_for_wakeup, write_available,
-};
+use crate::inbox::{Inbox, NodeConnectionChange};
+use crate::metrics::Metrics;
+use crate::node_connection::{ConnectionTask, NodeConnection};
+use crate::turn::PendingInput;
 use async_executor::LocalExecutor;
 use std::cell::{Cell, RefCell};
-use std::collections::HashSet;
-use std::net::{SocketAddr, TcpStream};
+use std::collections::{HashSet, VecDeque};
+use std::net::SocketAddr;
 use std::rc::Rc;
-use std::time::{Duration, Instant};
 use stonescale::host::Readiness;
 use stonescale::time::{Span, Time};
-use stonescale_budget::buffer::MIN_CAPACITY_BYTES;
 use stonescale_budget::plan::NODE_CONNECTION_BYTES;
 use stonescale_budget::purpose::ReclaimAction;
-use stonescale_budget::{BudgetExceeded, Buffer, Charge, Ledger, Purpose};
-use stonescale_connection::forward_queue::Unfinished;
-use stonescale_connection::{ForwardKey, ForwardQueue, GiveUp};
-use stonescale_formats::resp::{ElementKind, MessageLimits, Scanner};
-use tracing::{debug, info, warn};
-
-/// Limits on the size of a node's reply.
-const REPLY_LIMITS: MessageLimits = MessageLimits {
-    max_elements: 8,
-    max_bulk_bytes: MAX_VALUE_BYTES,
-    max_line_bytes: 1024,
-    max_message_bytes: MAX_VALUE_BYTES + 4 * 1024,
+use stonescale_budget::{Ledger, Purpose};
+use stonescale_connection::placement::{
+    NodeConnections, Placement, PoolRoom, WaitingForward, WaitingForwards, place,
 };
+use stonescale_connection::{ForwardKey, GiveUp};
+
 /// Fraction of the node's keepalive after which the marshal closes an idle connection, so that the node does
 /// not close it first.
 const IDLE_CLOSE_FRACTION: f64 = 0.6;
@@ -46,173 +35,98 @@
 const REUSE_DELAY: Span = Span::millis(15);
 /// One node may occupy one part in this many of the memory for bytes queued to all nodes.
 const NODE_QUEUE_DIVISOR: usize = 4;
-/// Interval of retries to reserve memory for an incoming reply.
-const MEMORY_RETRY_INTERVAL: Duration = Duration::from_millis(10);
 
-/// One connection to a node.
-pub struct NodeConnection {
-    opened_at: Time,
-    /// `None` once the connection has ended: the descriptor must not stay open while others hold a reference
-    /// to this value.
-    stream: RefCell<Option<Rc<Async<TcpStream>>>>,
-    forwards: RefCell<ForwardQueue>,
-    write_buffer: RefCell<Buffer>,
-    /// Accepts no further forwards.
-    draining: Cell<bool>,
-    /// Why the connection is to be closed, once that was requested.
-    close_reason: Cell<Option<EndReason>>,
-    last_used: Cell<Time>,
-    signal: Signal,
-    _charge: Charge,
+/// Address of a node, the connections to it, and the forwards that wait for one.
+struct NodeState {
+    addr: SocketAddr,
+    /// When the node was listed as removed; `None` while it is listed.
+    removed_at: Option<Time>,
+    connections: Vec<Rc<NodeConnection>>,
+    waiting: WaitingForwards,
 }
 
-impl NodeConnection {
-    fn is_idle(&self) -> bool {
-        self.forwards.borrow().is_empty()
-    }
-
-    fn is_reusable(&self, now: Time) -> bool {
-        self.is_idle() && now - self.last_used.get() >= REUSE_DELAY
-    }
-
-    fn close(&self, reason: EndReason) {
-        self.draining.set(true);
-        if self.close_reason.get().is_none() {
-            self.close_reason.set(Some(reason));
-        }
-        self.signal.raise();
-    }
-
-    /// Whether no unexpected input is pending and the node has not closed the connection.
-    fn is_clean(&self) -> bool {
-        self.stream.borrow().as_ref().is_none_or(|stream| is_open_without_input(stream))
-    }
-
-    /// Sends a forward: writes as much as the socket accepts now and queues the rest. If there is no
-    /// room for the rest of a forward already written in part, the connection is closed.
-    fn send(&self, hit: u32, hop: u8, command: &Command, wait: Span) -> Result<(), EndReason> {
-        let mut write_buffer = self.write_buffer.borrow_mut();
-        command.with_pieces(wait, |pieces| {
-            let length: usize = pieces.iter().map(|p| p.len()).sum();
-            let stream = self.stream.borrow();
-            let bytes_written = match stream.as_ref().filter(|_| write_buffer.is_empty()) {
-                Some(stream) => try_write_vectored(stream, pieces).map_err(|_| EndReason::Broken),
-                None => Ok(0),
-            };
-            let bytes_written = bytes_written.inspect_err(|reason| self.close(*reason))?;
-            self.forwards.borrow_mut().record_written(bytes_written as u64);
-            let fill = |write_buffer: &mut Buffer| {
-                write_buffer.reserve(length - bytes_written)?;
-                let mut to_skip = bytes_written;
-                for piece in pieces {
-                    let skip = to_skip.min(piece.len());
-                    to_skip -= skip;
-                    write_buffer.extend(&piece[skip..])?;
-                }
-                Ok(())
-            };
-            fill(&mut write_buffer).map_err(|_: BudgetExceeded| {
-                if bytes_written > 0 {
-                    self.close(EndReason::NoSocket);
+impl NodeState {
+    /// The connections as the placement of a forward sees them, and the one that a forward would go on now: the most
+    /// recently used, as it is the least likely to be closed by the node right now.
+    fn view(&self, rest: Span, now: Time) -> (NodeConnections, Option<&Rc<NodeConnection>>) {
+        let mut view = NodeConnections::default();
+        let mut reusable: Option<&Rc<NodeConnection>> = None;
+        for connection in self.connections.iter().filter(|c| !c.is_draining()) {
+            if !connection.is_established() {
+                view.connecting += 1;
+                view.newest_connecting_at = view.newest_connecting_at.max(connection.opened_at);
+                continue;
+            }
+            let is_newer = |best: &Rc<NodeConnection>| best.last_used() < connection.last_used();
+            match connection.reusable_from(rest) {
+                Some(at) if at > now => {
+                    view.next_reusable_at = Some(view.next_reusable_at.map_or(at, |next| next.min(at)));
                 }
-                EndReason::NoSocket
-            })?;
-            self.forwards.borrow_mut().push(ForwardKey { hit, hop }, length);
-            Ok(())
-        })?;
-        if !write_buffer.is_empty() {
-            self.signal.raise();
-        }
-        Ok(())
-    }
-
-    /// Writes as much of the queue as the socket accepts now.
-    fn flush(&self) -> Result<(), EndReason> {
-        let stream = self.stream.borrow();
-        let Some(stream) = stream.as_ref() else { return Ok(()) };
-        let mut write_buffer = self.write_buffer.borrow_mut();
-        let mut written = 0;
-        let result = write_available(stream, &mut write_buffer, &mut written);
-        self.forwards.borrow_mut().record_written(written);
-        result.map(|_| ()).map_err(|_| EndReason::Broken)
-    }
-
-    /// Gives up a forward, with what of it is unsent.
-    fn give_up(&self, key: ForwardKey) -> GiveUp {
-        let given_up = self.forwards.borrow_mut().give_up(key);
-        let mut write_buffer = self.write_buffer.borrow_mut();
-        match &given_up {
-            GiveUp::Withdrawn(range) => write_buffer.remove(range.clone()),
-            GiveUp::CutOff(_) => {
-                let unsent = write_buffer.len();
-                write_buffer.consume(unsent, 0);
-                self.draining.set(true);
+                Some(_) if reusable.is_none_or(is_newer) => reusable = Some(connection),
+                Some(_) | None => {}
             }
-            // A further forward would wait behind a reply that may never come.
-            GiveUp::Written => self.draining.set(true),
-            GiveUp::Unknown => {}
         }
-        given_up
+        view.has_reusable = reusable.is_some();
+        (view, reusable)
     }
+}
 
-    /// Withdraws the forwards of which nothing is written.
-    fn withdraw_unwritten(&self) -> Vec<ForwardKey> {
-        let (mut forwards, mut write_buffer) = (self.forwards.borrow_mut(), self.write_buffer.borrow_mut());
-        let mut withdrawn = Vec::new();
-        while let Some((key, range)) = forwards.withdraw_last() {
-            write_buffer.remove(range);
-            withdrawn.push(key);
-        }
-        withdrawn
-    }
+/// Where a forward is.
+#[derive(Clone)]
+pub enum ForwardPlace {
+    /// On this connection.
+    Sent(Rc<NodeConnection>),
+    /// In the queue of the node with this number; nothing of it is written.
+    Waiting(usize),
 }
 
-/// Address of a node and the connections to it.
-struct NodeState {
-    addr: SocketAddr,
-    /// When the node was listed as removed; `None` while it is listed.
-    removed_at: Option<Time>,
-    connections: Vec<Rc<NodeConnection>>,
+/// A waiting forward for which there is a connection.
+pub struct ReadyForward {
+    pub forward: WaitingForward,
+    pub connection: Rc<NodeConnection>,
 }
 
 /// The nodes by number, and all connections to them.
 pub struct NodePool {
     nodes: Vec<Option<NodeState>>,
+    /// Numbers of the nodes for which forwards wait; each stands here once.
+    nodes_waited_for: VecDeque<usize>,
+    /// Idle connections that are being closed to make room for others.
+    pending_replacements: usize,
     inbox: Rc<Inbox>,
     executor: Rc<LocalExecutor<'static>>,
     clock: Clock,
     connect_timeout: Span,
     keepalive: Span,
-    max_pipelined: usize,
     max_connections: usize,
     ledger: Ledger,
+    metrics: Rc<Metrics>,
     open_connections: Rc<Cell<usize>>,
     scratch: Rc<RefCell<Vec<u8>>>,
 }
 
 impl NodePool {
     /// Creates a pool without nodes. `keepalive` is the time after which nodes close an idle connection; the marshal
-    /// closes it earlier. `max_pipelined` limits the concurrent forwards on one connection, and `max_connections` the
-    /// connections to all nodes together.
+    /// closes it earlier. `max_connections` limits the connections to all nodes together.
     pub fn new(
         inbox: Rc<Inbox>, executor: Rc<LocalExecutor<'static>>, clock: Clock,
-        (connect_timeout, keepalive, max_pipelined): (Span, Span, usize), max_connections: usize,
-        ledger: Ledger,
+        (connect_timeout, keepalive): (Span, Span), max_connections: usize, ledger: Ledger,
+        metrics: Rc<Metrics>,
     ) -> Self {
-        let scratch = Rc::new(RefCell::new(vec![0; MAX_VALUE_BYTES]));
-        let (nodes, open_connections) = (Vec::new(), Rc::default());
         NodePool {
-            nodes,
+            nodes: Vec::new(),
+            nodes_waited_for: VecDeque::new(),
+            pending_replacements: 0,
             inbox,
             executor,
             clock,
             connect_timeout,
             keepalive,
-            max_pipelined,
             max_connections,
             ledger,
-            open_connections,
-            scratch,
+            metrics,
+            open_connections: Rc::default(),
+            scratch: Rc::new(RefCell::new(vec![0; MAX_VALUE_BYTES])),
         }
     }
 
@@ -226,39 +140,29 @@
         if self.nodes.len() <= node {
             self.nodes.resize_with(node + 1, || None);
         }
-        let connections = self.nodes[node].take().map_or(Vec::new(), |previous| {
-            if previous.addr != addr {
-                previous.connections.iter().for_each(|c| self.drain(c, EndReason::Withdrawn));
-                Vec::new()
-            } else {
-                previous.connections
-            }
-        });
-        for connection in &connections {
-            if readiness != Readiness::Ready {
-                self.drain(connection, EndReason::Withdrawn);
-            } else if connection.opened_at < started_at {
-                // The process it was opened to is gone, even if the host sent no reset.
-                connection.close(EndReason::Restarted);
-            }
-        }
         let removed_at = (readiness == Readiness::Gone).then(|| self.clock.now());
-        self.nodes[node] = Some(NodeState { addr, removed_at, connections });
-    }
-
-    /// Accepts no further forwards and withdraws those of which nothing is written; replies to the others are still
-    /// awaited.
-    fn drain(&self, connection: &NodeConnection, reason: EndReason) {
-        connection.draining.set(true);
-        self.report_unsent(connection.withdraw_unwritten(), reason);
-        if connection.is_idle() {
-            connection.close(reason);
+        let (connections, waiting) = (Vec::new(), WaitingForwards::default());
+        let state = self.nodes[node].get_or_insert(NodeState { addr, removed_at, connections, waiting });
+        state.removed_at = removed_at;
+        if state.addr != addr || readiness != Readiness::Ready {
+            Self::withdraw(&self.inbox, state);
+        } else {
+            // The process to which they were opened is gone, even if the host sent no reset.
+            let outdated = state.connections.iter().filter(|c| c.opened_at < started_at);
+            outdated.for_each(|c| c.close(EndReason::Restarted));
+        }
+        if state.addr != addr {
+            state.addr = addr;
+            state.connections.clear();
         }
     }
 
-    fn report_unsent(&self, forwards: Vec<ForwardKey>, reason: EndReason) {
-        for ForwardKey { hit, hop } in forwards {
-            self.inbox.push_forward_end(hit, hop, reason, false);
+    /// Drains all connections of a node, and withdraws the forwards of which nothing is written; replies to the others
+    /// are still awaited.
+    fn withdraw(inbox: &Inbox, state: &mut NodeState) {
+        let unwritten = state.connections.iter().filter_map(|c| c.drain(EndReason::Withdrawn));
+        for ForwardKey { hit, hop } in unwritten.chain(state.waiting.take_all()) {
+            inbox.push_forward_end(hit, hop, EndReason::Withdrawn, false);
         }
     }
 
@@ -268,11 +172,7 @@
         for (number, state) in self.nodes.iter_mut().enumerate() {
             if let Some(state) = state.as_mut().filter(|_| !listed.contains(&number)) {
                 state.removed_at = state.removed_at.or(Some(now));
-            }
-        }
-        for (number, state) in self.nodes.iter().enumerate() {
-            if let Some(state) = state.as_ref().filter(|_| !listed.contains(&number)) {
-                state.connections.iter().for_each(|c| self.drain(c, EndReason::Withdrawn));
+                Self::withdraw(&self.inbox, state);
             }
         }
     }
@@ -283,106 +183,209 @@
         self.nodes.get(node).and_then(Option::as_ref).map_or(unspecified, |s| s.addr)
     }
 
-    /// Sends a hit's command to a node, stating `wait` as the time for which the reply is awaited.
+    /// Sends a hit's command to a node, stating `wait` as the time for which the reply is awaited, or lets it wait for
+    /// a connection; see [`NodePool::next_ready`].
     pub fn forward(
-        &mut self, node: usize, hit: u32, hop: u8, command: &Command, wait: Span,
-    ) -> Result<Rc<NodeConnection>, EndReason> {
+        &mut self, node: usize, key: ForwardKey, command: &Command, wait: Span,
+    ) -> Result<ForwardPlace, EndReason> {
         let now = self.clock.now();
-        let state = self.nodes.get_mut(node).and_then(Option::as_mut).ok_or(EndReason::NoSuchNode)?;
-        let addr = state.addr;
-        state.connections.retain(|c| !c.draining.get());
-        // The most recently used connection is the least likely to be closed by the node right now.
-        while let Some(connection) = state
-            .connections
-            .iter()
-            .filter(|c| c.is_reusable(now) && !c.draining.get())
-            .max_by_key(|c| c.last_used.get())
-        {
-            let connection = connection.clone();
-            if connection.is_clean() {
-                connection.last_used.set(now);
-                connection.send(hit, hop, command, wait)?;
-                return Ok(connection);
+        let state = self.state_mut(node).ok_or(EndReason::NoSuchNode)?;
+        let is_waited_for = !state.waiting.is_empty();
+        if !is_waited_for && let Some(connection) = self.take_reusable(node, now) {
+            connection.send(key, command, wait, now)?;
+            return Ok(ForwardPlace::Sent(connection));
+        }
+        let max_queued_bytes = self.ledger.cap(Purpose::NodeConnections) / NODE_QUEUE_DIVISOR;
+        let state = self.state_mut(node).ok_or(EndReason::NoSuchNode)?;
+        // A node that does not read must not use up the memory for queued bytes that all nodes share.
+        let queued_bytes: usize = state.connections.iter().map(|c| c.queued_bytes()).sum();
+        if queued_bytes > max_queued_bytes {
+            return Err(EndReason::NoSocket);
+        }
+        let forward = WaitingForward { key, deadline: now + wait };
+        state.waiting.push(forward).map_err(|_| EndReason::NoSocket)?;
+        if !is_waited_for {
+            self.nodes_waited_for.push_back(node);
+        }
+        self.metrics.forward_waited();
+        Ok(ForwardPlace::Waiting(node))
+    }
+
+    fn state(&self, node: usize) -> Option<&NodeState> {
+        self.nodes.get(node).and_then(Option::as_ref)
+    }
+
+    fn state_mut(&mut self, node: usize) -> Option<&mut NodeState> {
+        self.nodes.get_mut(node).and_then(Option::as_mut)
+    }
+
+    /// The connection to the node that a forward may go on now. Those on which something has happened are closed.
+    fn take_reusable(&mut self, node: usize, now: Time) -> Option<Rc<NodeConnection>> {
+        let state = self.nodes.get_mut(node).and_then(Option::as_mut)?;
+        state.connections.retain(|c| !c.is_draining());
+        loop {
+            let connection = state.view(REUSE_DELAY, now).1?.clone();
+            match connection.pending_input() {
+                PendingInput::None => return Some(connection),
+                PendingInput::Bytes => connection.reject_unasked_input(now, &self.metrics),
+                PendingInput::Ended => connection.close(EndReason::Closed),
             }
-            connection.close(EndReason::Closed);
         }
-        // Only one connection to a node is established at a time: a burst of new connections costs the node
-        // and the marshal more than pipelining behind another forward.
-        let connecting = state.connections.iter().any(|c| !c.draining.get() && c.stream.borrow().is_none());
-        if connecting || self.open_connections.get() >= self.max_connections {
-            let shared = state.connections.iter().filter(|c| !c.draining.get() && !c.is_idle());
-            let shared = shared.filter(|c| c.forwards.borrow().len() < self.max_pipelined);
-            if let Some(connection) = shared.min_by_key(|c| c.forwards.borrow().len()).cloned() {
-                // A node that does not read must not use up the memory for queued bytes that all nodes share.
-                let charged_bytes: usize =
-                    state.connections.iter().map(|c| c.write_buffer.borrow().charged_bytes()).sum();
-                if charged_bytes > self.ledger.cap(Purpose::NodeConnections) / NODE_QUEUE_DIVISOR {
-                    return Err(EndReason::NoSocket);
+    }
+
+    /// Begins a connection to the node if the forwards that wait for it need one; returns the time at which to look
+    /// again if nothing else happens. `starving` counts the nodes in this pass for which there is no room.
+    fn open_if_needed(
+        &mut self, node: usize, starving: &mut usize, now: Time,
+    ) -> Result<Option<Time>, EndReason> {
+        let Some(state) = self.state(node) else { return Ok(None) };
+        let room = self.room(node, *starving);
+        match place(state.view(REUSE_DELAY, now).0, room, state.waiting.len(), now) {
+            Placement::Reuse => Ok(Some(now)),
+            Placement::Wait { until } => Ok(until),
+            Placement::Open => self.open(node, now).map(|()| None),
+            Placement::Replace => {
+                *starving += 1;
+                if *starving > self.pending_replacements
+                    && let Some(idle) = self.longest_idle(node)
+                {
+                    idle.close(EndReason::Idle);
+                    self.pending_replacements += 1;
                 }
-                connection.send(hit, hop, command, wait)?;
-                return Ok(connection);
+                Ok(None)
             }
-            // No connection to this node can be shared: an idle connection to another node is closed instead.
-            let all = self.nodes.iter().flatten().flat_map(|s| &s.connections);
-            let idle = all.filter(|c| c.is_idle() && !c.draining.get()).min_by_key(|c| c.last_used.get());
-            idle.ok_or(EndReason::NoSocket)?.close(EndReason::Idle);
         }
-        let charge = self
-            .ledger
-            .charge(Purpose::NodeConnections, NODE_CONNECTION_BYTES)
-            .map_err(|_| EndReason::NoSocket)?;
-        let connection = Rc::new(NodeConnection {
-            opened_at: now,
-            stream: RefCell::default(),
-            forwards: RefCell::default(),
-            write_buffer: RefCell::new(Buffer::new(&self.ledger, Purpose::NodeConnections)),
-            draining: Cell::new(false),
-            close_reason: Cell::new(None),
-            last_used: Cell::new(now),
-            signal: Signal::default(),
-            _charge: charge,
-        });
-        connection.send(hit, hop, command, wait)?;
-        let state = self.nodes.get_mut(node).and_then(Option::as_mut).ok_or(EndReason::NoSuchNode)?;
+    }
+
+    /// The room for a further connection to this node.
+    fn room(&self, node: usize, starving: usize) -> PoolRoom {
+        if self.open_connections.get() < self.max_connections {
+            PoolRoom::Free
+        } else if starving < self.pending_replacements || self.longest_idle(node).is_some() {
+            PoolRoom::Replaceable
+        } else {
+            PoolRoom::Full
+        }
+    }
+
+    /// The connection to another node that has carried nothing for the longest time.
+    fn longest_idle(&self, node: usize) -> Option<&Rc<NodeConnection>> {
+        let others = self.nodes.iter().enumerate().filter(|(number, _)| *number != node);
+        let connections = others.filter_map(|(_, state)| state.as_ref()).flat_map(|s| &s.connections);
+        let idle = connections.filter(|c| c.is_established() && c.is_idle() && !c.is_draining());
+        idle.min_by_key(|c| c.last_used())
+    }
+
+    /// Begins a connection to the node.
+    fn open(&mut self, node: usize, now: Time) -> Result<(), EndReason> {
+        let charge = self.ledger.charge(Purpose::NodeConnections, NODE_CONNECTION_BYTES);
+        let charge = charge.map_err(|_| EndReason::NoSocket)?;
+        let connection = Rc::new(NodeConnection::new(now, &self.ledger, charge));
+        let state = self.state_mut(node).ok_or(EndReason::NoSuchNode)?;
         state.connections.push(connection.clone());
+        let addr = state.addr;
         self.open_connections.set(self.open_connections.get() + 1);
+        self.metrics.node_connection_opened();
         let task = ConnectionTask {
-            connection: connection.clone(),
+            connection,
+            node,
+            addr,
             inbox: self.inbox.clone(),
             clock: self.clock,
             ledger: self.ledger.clone(),
+            metrics: self.metrics.clone(),
             open_connections: self.open_connections.clone(),
             scratch: self.scratch.clone(),
-            reply_timeout: duration(self.connect_timeout),
+            connect_timeout: self.connect_timeout,
         };
-        self.executor.spawn(task.run(addr, self.connect_timeout)).detach();
-        Ok(connection)
+        self.executor.spawn(task.run()).detach();
+        Ok(())
     }
 
-    /// Stops waiting for a forward. One that is not fully written never reaches its node; the connection of one that is
-    /// takes no further forwards. The connection is closed unless it is established and of use, or other forwards are
-    /// pending on it.
-    pub fn abort_forward(&self, connection: &NodeConnection, key: ForwardKey, reason: EndReason) {
-        let given_up = connection.give_up(key);
-        let sent = match given_up {
-            GiveUp::Unknown => return,
-            GiveUp::Written => true,
-            GiveUp::Withdrawn(_) | GiveUp::CutOff(_) => false,
-        };
-        if let GiveUp::CutOff(behind) = given_up {
-            self.report_unsent(behind, EndReason::Withdrawn);
+    /// Takes a waiting forward for which there is a connection now, and begins connections for the others. If all that
+    /// wait have to go on waiting, returns the time at which to look again if nothing else happens.
+    pub fn next_ready(&mut self) -> Result<ReadyForward, Option<Time>> {
+        let now = self.clock.now();
+        let (mut look_again_at, mut starving) = (None::<Time>, 0);
+        for _ in 0..self.nodes_waited_for.len() {
+            let Some(node) = self.nodes_waited_for.pop_front() else { break };
+            if !self.is_waited_for(node) {
+                continue;
+            }
+            if let Some(connection) = self.take_reusable(node, now)
+                && let Some(forward) = self.state_mut(node).and_then(|state| state.waiting.pop())
+            {
+                self.nodes_waited_for.push_front(node);
+                return Ok(ReadyForward { forward, connection });
+            }
+            match self.open_if_needed(node, &mut starving, now) {
+                Ok(until) => look_again_at = look_again_at.into_iter().chain(until).min(),
+                Err(reason) => self.fail_waiting(node, reason),
+            }
+            if self.is_waited_for(node) {
+                self.nodes_waited_for.push_back(node);
+            }
         }
-        let is_usable = !connection.draining.get() && connection.stream.borrow().is_some();
-        if !is_usable && connection.forwards.borrow().is_all_reported() {
-            connection.close(reason);
+        Err(look_again_at)
+    }
+
+    fn is_waited_for(&self, node: usize) -> bool {
+        self.state(node).is_some_and(|state| !state.waiting.is_empty())
+    }
+
+    /// Ends the forwards that wait for a node, as no connection to it could be made.
+    fn fail_waiting(&mut self, node: usize, reason: EndReason) {
+        let Some(state) = self.state_mut(node) else { return };
+        let waiting: Vec<_> = state.waiting.take_all().collect();
+        for ForwardKey { hit, hop } in waiting {
+            self.inbox.push_forward_end(hit, hop, reason, false);
+        }
+    }
+
+    /// Handles a change of a connection that was opened to the node at this address.
+    pub fn connection_changed(&mut self, node: usize, addr: SocketAddr, change: NodeConnectionChange) {
+        match change {
+            NodeConnectionChange::NotEstablished(reason) if self.addr(node) == addr => {
+                self.fail_waiting(node, reason)
+            }
+            NodeConnectionChange::NotEstablished(_) | NodeConnectionChange::Established => {}
+            NodeConnectionChange::Ended => {
+                self.pending_replacements = self.pending_replacements.saturating_sub(1)
+            }
         }
+    }
+
+    /// Stops waiting for a forward. One that is not fully written never reaches its node; the connection of one that is
+    /// gets closed, as its reply may still come.
+    pub fn abort_forward(&mut self, place: &ForwardPlace, key: ForwardKey, reason: EndReason) {
+        let (reason, sent) = match place {
+            ForwardPlace::Sent(connection) => match connection.give_up(key, reason) {
+                GiveUp::NotCarried => return,
+                GiveUp::Written => (reason, true),
+                GiveUp::Unwritten | GiveUp::CutOff => (reason, false),
+            },
+            ForwardPlace::Waiting(node) => {
+                let Some(state) = self.state_mut(*node) else { return };
+                if !state.waiting.remove(key) {
+                    return;
+                }
+                let is_connecting = state.connections.iter().any(|c| !c.is_established() && !c.is_draining());
+                // Where no connection to the node is under way, only this marshal's own limits held the forward up.
+                let is_own_limit = reason == EndReason::WaitedOut && !is_connecting;
+                (if is_own_limit { EndReason::NoSocket } else { reason }, false)
+            }
+        };
         self.inbox.push_forward_end(key.hit, key.hop, reason, sent);
     }
 
     /// Stops a forward that is not fully written; one that is written goes on.
-    pub fn withdraw_forward(&self, connection: &NodeConnection, key: ForwardKey) {
-        if connection.forwards.borrow().is_unfinished(key) {
-            self.abort_forward(connection, key, EndReason::CalledOff);
+    pub fn withdraw_forward(&mut self, place: &ForwardPlace, key: ForwardKey) {
+        let is_written = match place {
+            ForwardPlace::Sent(connection) => !connection.is_unfinished(key),
+            ForwardPlace::Waiting(_) => false,
+        };
+        if !is_written {
+            self.abort_forward(place, key, EndReason::CalledOff);
         }
     }
 
@@ -395,9 +398,9 @@
         let max_idle =
             self.keepalive * IDLE_CLOSE_FRACTION * if under_pressure { PRESSURE_IDLE_FACTOR } else { 1.0 };
         for state in self.nodes.iter_mut().flatten() {
-            state.connections.retain(|c| !c.draining.get());
+            state.connections.retain(|c| !c.is_draining());
             for connection in
-                state.connections.iter().filter(|c| c.is_idle() && now - c.last_used.get() >= max_idle)
+                state.connections.iter().filter(|c| c.is_idle() && now - c.last_used() >= max_idle)
             {
                 if under_pressure {
                     self.ledger.record_reclaimed(Purpose::NodeConnections, NODE_CONNECTION_BYTES);
@@ -406,190 +409,14 @@
             }
         }
         let retention = if drop_removed { Span::ZERO } else { self.keepalive };
-        let expired =
-            |s: &NodeState| s.connections.is_empty() && s.removed_at.is_some_and(|at| now - at >= retention);
+        let expired = |s: &NodeState| {
+            s.connections.is_empty()
+                && s.waiting.is_empty()
+                && s.removed_at.is_some_and(|at| now - at >= retention)
+        };
         let take_expired = |(number, state): (usize, &mut Option<NodeState>)| {
             state.take_if(|state| expired(state)).map(|_| number)
         };
         self.nodes.iter_mut().enumerate().filter_map(take_expired).collect()
     }
 }
-
-/// Whether an error line has one of the protocol's forms: `ERR failed`, `BUSY` or `BUSY MS`, each with an
-/// optional load report, or `SYNTAX`. A line that lost its terminator runs on into the next reply; taken for
-/// an error, it would hide that reply, and all later replies would go to the wrong hits. Nodes that word
-/// their errors differently are harmed by this check: each such error costs a connection, and counts as a
-/// failed one.
-fn is_known_error(line: &[u8]) -> bool {
-    let mut words = line.split(|b| *b == b' ');
-    let head = match words.next() {
-        Some(b"ERR") => words.next() == Some(b"failed"),
-        Some(b"BUSY") => true,
-        Some(b"SYNTAX") => return true,
-        _ => false,
-    };
-    // `inflight=7,queue=2,util=0.61`, or a number.
-    let is_plain = |b: &u8| b.is_ascii_alphanumeric() || b"._-".contains(b);
-    let is_item = |item: &[u8]| {
-        let mut sides = item.split(|b| *b == b'=');
-        sides.clone().count() <= 2 && sides.all(|side| !side.is_empty() && side.iter().all(is_plain))
-    };
-    let is_number_or_load = |word: &[u8]| word.contains(&b'=') || word.iter().all(u8::is_ascii_digit);
-    head && words.all(|word| is_number_or_load(word) && word.split(|b| *b == b',').all(is_item))
-}
-
-/// The task of one connection: establishes it, writes its queue and reads replies.
-struct ConnectionTask {
-    connection: Rc<NodeConnection>,
-    inbox: Rc<Inbox>,
-    clock: Clock,
-    ledger: Ledger,
-    open_connections: Rc<Cell<usize>>,
-    scratch: Rc<RefCell<Vec<u8>>>,
-    /// Time limit for the rest of a partly received reply; equal to the connect timeout.
-    reply_timeout: Duration,
-}
-
-impl ConnectionTask {
-    async fn run(self, addr: SocketAddr, connect_timeout: Span) {
-        let reason = match self.establish(addr, connect_timeout).await {
-            Ok(()) => self.exchange().await,
-            Err(reason) => reason,
-        };
-        self.connection.close(reason);
-        self.connection.stream.take();
-        self.open_connections.set(self.open_connections.get() - 1);
-        let unfinished = self.connection.forwards.borrow_mut().take_unfinished();
-        if !unfinished.is_empty() {
-            debug!("connection to {addr} ended with {} forwards: {reason:?}", unfinished.len());
-        }
-        for Unfinished { key: ForwardKey { hit, hop }, written } in unfinished {
-            self.inbox.push_forward_end(hit, hop, reason, written);
-        }
-    }
-
-    async fn establish(&self, addr: SocketAddr, connect_timeout: Span) -> Result<(), EndReason> {
-        let closed = async {
-            loop {
-                self.connection.signal.wait().await;
-                if let Some(reason) = self.connection.close_reason.get() {
-                    return Err(reason);
-                }
-            }
-        };
-        let connected = async {
-            let stream = connect(addr, duration(connect_timeout)).await;
-            stream.map_err(|e| {
-                info!("connection to {addr} failed: {e}");
-                EndReason::from_connect_error(&e)
-            })
-        };
-        let stream = futures_lite::future::or(closed, connected).await?;
-        *self.connection.stream.borrow_mut() = Some(Rc::new(stream));
-        Ok(())
-    }
-
-    async fn exchange(&self) -> EndReason {
-        let connection = &self.connection;
-        let Some(stream) = connection.stream.borrow().clone() else { return EndReason::Broken };
-        let mut received = Buffer::with_prepaid(&self.ledger, Purpose::NodeReplies);
-        let mut scanner = Scanner::new(REPLY_LIMITS);
-        // Arrival time of the first bytes of the incomplete reply.
-        let mut reply_started = None;
-        loop {
-            if let Some(reason) = connection.close_reason.get() {
-                return reason;
-            }
-            if let Err(reason) = connection.flush() {
-                return reason;
-            }
-            let needed = match scanner.required_length() {
-                None if received.spare_capacity() > 0 => 0,
-                None => MIN_CAPACITY_BYTES,
-                Some((length, _)) => length.saturating_sub(received.len()),
-            };
-            // Without memory the reply stays in the socket buffer until there is some or the reply times out.
-            let has_room = received.reserve(needed).is_ok();
-            let write = !connection.write_buffer.borrow().is_empty();
-            let interest = Interest { read: has_room, write, ..Interest::default() };
-            let reply_deadline = reply_started.map(|at| at + self.reply_timeout);
-            let retry_at = (!has_room).then(|| Instant::now() + MEMORY_RETRY_INTERVAL);
-            let deadline = reply_deadline.into_iter().chain(retry_at).min();
-            match wait_for_wakeup(&stream, interest, &connection.signal, deadline).await {
-                Wakeup::Readable => {}
-                // The length is too large or the line has no terminator: the rest will never come.
-                Wakeup::DeadlineReached if reply_deadline.is_some_and(|at| at <= Instant::now()) => {
-                    return EndReason::Garbled;
-                }
-                _ => continue,
-            }
-            {
-                let mut scratch = self.scratch.borrow_mut();
-                let max_read = received.spare_capacity().min(MAX_VALUE_BYTES);
-                match read_available(&stream, &mut scratch[..max_read]) {
-                    Ok(Some([])) => return EndReason::Closed,
-                    // The read is limited to the reserved capacity, so this does not fail.
-                    Ok(Some(bytes)) if received.extend(bytes).is_err() => return EndReason::Garbled,
-                    Ok(Some(_)) => {}
-                    Ok(None) => continue,
-                    Err(_) => return EndReason::Broken,
-                }
-            }
-            if let Err(error) = self.process_replies(&mut scanner, &mut received) {
-                warn!("node sent an invalid reply: {error}");
-                return EndReason::Garbled;
-            }
-            reply_started = (!received.is_empty()).then(|| reply_started.unwrap_or_else(Instant::now));
-            if connection.draining.get() && connection.is_idle() {
-                return EndReason::Idle;
-            }
-        }
-    }
-
-    fn process_replies(&self, scanner: &mut Scanner, received: &mut Buffer) -> Result<(), &'static str> {
-        while !received.is_empty() {
-            let bytes = received.as_slice();
-            let Some(length) = scanner.scan(bytes)? else { return Ok(()) };
-            let first = scanner.elements.first().ok_or("empty array")?;
-            let reason = match (scanner.is_array, first.kind) {
-                // The load report and the null that may follow are skipped.
-                (true, ElementKind::BulkString) => EndReason::Served,
-                (false, ElementKind::Error) if !is_known_error(&bytes[first.payload.clone()]) => {
-                    return Err("unrecognized error line");
-                }
-                (false, ElementKind::Error) if bytes[first.payload.clone()].starts_with(b"BUSY") => {
-                    EndReason::SaidBusy
-                }
-                (false, ElementKind::Error) => EndReason::SaidFailed,
-                _ => return Err("neither a value nor an error"),
-            };
-            if reason == EndReason::SaidFailed && bytes[first.payload.clone()].starts_with(b"SYNTAX") {
-                warn!("node rejected a forward as malformed");
-            }
-            let encoded_range = first.encoded.clone();
-            let replied = self.connection.forwards.borrow_mut().take_replied();
-            let forward = replied.ok_or("no forward is pending")?;
-            let keep_value = !forward.reported && reason == EndReason::Served;
-            let value = keep_value.then(|| received.take_block(length, Purpose::NodeReplies));
-            if !matches!(value, Some(Ok(_))) {
-                received.consume(length, MIN_CAPACITY_BYTES);
-            }
-            if !forward.reported {
-                let (ForwardKey { hit, hop }, sent) = (forward.key, true);
-                let (reason, value) = match value {
-                    None => (reason, None),
-                    Some(Ok(mut block)) => {
-                        block.narrow(encoded_range);
-                        (reason, Some(block))
-                    }
-                    // The hit ran, but there is no memory for its value.
-                    Some(Err(_)) => (EndReason::Garbled, None),
-                };
-                self.inbox.push_hit_event(HitEvent::ForwardEnded { hit, hop, reason, sent, value });
-            }
-            self.connection.last_used.set(self.clock.now());
-            scanner.reset();
-        }
-        Ok(())
-    }
-}
--- a/crates/marshal/src/serve.rs
+++ b/crates/marshal/src/serve.rs
@@ -140,6 +140,7 @@
         stonescale_site::node_connection_settings(settings)?,
         max_node_connections,
         ledger.clone(),
+        metrics.clone(),
     );
     let discovery = Discovery::new(
         discovery_addr,
--- a/crates/marshal/src/turn.rs
+++ b/crates/marshal/src/turn.rs
@@ -119,9 +119,27 @@
     }
 }
 
-/// Whether no unread input is pending and the peer has not closed the stream.
-pub fn is_open_without_input(stream: &Async<TcpStream>) -> bool {
-    matches!(stream.get_ref().peek(&mut [0]), Err(e) if e.kind() == ErrorKind::WouldBlock)
+/// What a socket holds that has not been read.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum PendingInput {
+    /// Nothing, and the peer has not ended the stream.
+    None,
+    Bytes,
+    /// The peer has ended the stream, or it has failed.
+    Ended,
+}
+
+/// Looks at the input of a socket without reading it.
+pub fn pending_input(stream: &Async<TcpStream>) -> PendingInput {
+    loop {
+        match stream.get_ref().peek(&mut [0]) {
+            Ok(0) => return PendingInput::Ended,
+            Ok(_) => return PendingInput::Bytes,
+            Err(e) if e.kind() == ErrorKind::WouldBlock => return PendingInput::None,
+            Err(e) if e.kind() == ErrorKind::Interrupted => {}
+            Err(_) => return PendingInput::Ended,
+        }
+    }
 }
 
 /// Upper bound on the slices of one vectored write.
--- a/crates/site/src/lib.rs
+++ b/crates/site/src/lib.rs
@@ -217,15 +217,11 @@
     Ok(WireNames { groups, max_retry_after, tenants, zones, kinds: strings("flavors")? })
 }
 
-/// Settings of connections to nodes: connect timeout, idle timeout, and the maximum number of concurrent forwards
-/// on one connection (at least 1).
-pub fn node_connection_settings(root: &Value) -> Result<(Span, Span, usize), String> {
+/// Settings of connections to nodes: connect timeout and idle timeout. How many requests a node begins at once on one
+/// connection is not read, as a connection carries one forward at a time.
+pub fn node_connection_settings(root: &Value) -> Result<(Span, Span), String> {
     let limits = ConfigObject(ConfigObject(root, "").required("limits")?, "limits.");
-    Ok((
-        limits.span("connect_timeout_ns")?,
-        limits.span("keepalive_ns")?,
-        (limits.number("multiplex")? as usize).max(1),
-    ))
+    Ok((limits.span("connect_timeout_ns")?, limits.span("keepalive_ns")?))
 }
 
 /// Whether discovery sends the node list only on request, and the timeout of a vote call to the platform.
