Nodes: any input that no forward asked for closes the connection, also a part of a message

What callers saw: the value of another hit, where a second copy of a reply came in two parts and a hit was sent between them.

Cause: the first part was read from the resting connection and kept as the beginning of a message. The socket then looked clean, the next hit went out on it, and the second part completed a reply for that hit (ConnectionTask::process_replies).

Change: bytes that come while no forward waits for a reply, or behind a whole reply, close the connection at once.

--- a/crates/marshal/src/node_connection.rs
+++ b/crates/marshal/src/node_connection.rs
@@ -336,17 +336,18 @@
         }
     }
 
-    /// Reports the forward whose whole reply was received. A reply for which no forward waits closes the connection.
+    /// Reports the forward whose whole reply was received. Input that no forward waits for closes the connection, also
+    /// a part of a message: the rest of it would otherwise come before the next reply.
     fn process_input(&self, scanner: &mut Scanner, received: &mut Buffer) -> Result<(), &'static str> {
-        while !received.is_empty() {
+        if self.connection.exchange.borrow().awaits_reply() {
             let Some(length) = scanner.scan(received.as_slice())? else { return Ok(()) };
-            if !self.connection.exchange.borrow().awaits_reply() {
-                self.connection.reject_unasked_input(self.clock.now(), &self.metrics);
-                return Ok(());
-            }
             self.process_reply(scanner, received, length)?;
             scanner.reset();
         }
+        if !received.is_empty() {
+            let now = self.clock.now();
+            self.connection.reject_unasked_input(now, &self.metrics);
+        }
         Ok(())
     }
 
--- a/crates/marshal/tests/reply_matching.rs
+++ b/crates/marshal/tests/reply_matching.rs
@@ -64,6 +64,27 @@
     assert!(outcomes.contains(&Outcome::Delivered), "{outcomes:?}");
 }
 
+/// The first part of a second copy was read from a resting connection and kept; its rest, which came with the next hit on
+/// that connection, completed a reply for that hit.
+#[test]
+fn a_second_copy_in_two_parts_is_not_taken_for_the_next_reply() {
+    let world = world(1);
+    let node = &world.nodes[0];
+    let first_part = b"*1\r\n$5\r\nwr".to_vec();
+    node.script([
+        ScriptedReply::ServeThenSend(Duration::from_millis(3), first_part),
+        ScriptedReply::Send(b"ong\r\n".to_vec()),
+    ]);
+    let hits: Vec<_> = (1..=2).map(|number| hit(&world, number, MUTATING, CLIENT_TIMEOUT)).collect();
+    let mut outcomes = exchange_together(&world, &hits[..1]);
+    assert_eq!(outcomes, [Outcome::Delivered]);
+    // Longer than the rest of a connection, and shorter than the time for which the rest of a reply is awaited.
+    std::thread::sleep(Duration::from_millis(60));
+    outcomes = exchange_together(&world, &hits[1..]);
+    assert_eq!(outcomes, [Outcome::Errored], "the second command's own reply is no reply");
+    assert_eq!(world.checker.violation_report(), "");
+}
+
 /// A forward that waits for a connection goes to no node that has begun to drain meanwhile, and ends at once.
 #[test]
 fn a_forward_that_waits_for_a_connection_is_withdrawn_when_its_node_drains() {
