Nodes: a connection rests longer once second copies of replies come late

Cause: the rest was a constant (REUSE_DELAY), shorter than what a node may take under load. Whatever the constant, a copy that is later by little crosses the next forward.

It applies to all nodes, as what sends twice is seldom one node alone. What remains: the very first late copy of a run, if it is later than 15 ms and on its way at the moment at which a forward is written.

--- a/crates/marshal/src/node_connection.rs
+++ b/crates/marshal/src/node_connection.rs
@@ -20,6 +20,7 @@
 use stonescale_budget::buffer::MIN_CAPACITY_BYTES;
 use stonescale_budget::{Buffer, Charge, Ledger, Purpose};
 use stonescale_connection::exchange::Unfinished;
+use stonescale_connection::reuse_rest::ReuseRest;
 use stonescale_connection::{Exchange, ForwardKey, GiveUp};
 use stonescale_formats::resp::{MessageLimits, Scanner};
 use tracing::{debug, info, warn};
@@ -129,11 +130,12 @@
     }
 
     /// Records input that no forward had asked for, and closes the connection.
-    pub fn reject_unasked_input(&self, now: Time, metrics: &Metrics) {
+    pub fn reject_unasked_input(&self, now: Time, rest: &RefCell<ReuseRest>, metrics: &Metrics) {
         let unasked = self.exchange.borrow_mut().record_unasked_input(now);
         metrics.node_input_unasked();
         if let Some(lateness) = unasked.since_last_reply {
             debug!("node sent input {} ms after a reply", lateness.as_nanos() / 1_000_000);
+            rest.borrow_mut().record_late_input(lateness, now);
         }
         self.close(EndReason::Closed);
     }
@@ -221,6 +223,7 @@
     pub ledger: Ledger,
     pub metrics: Rc<Metrics>,
     pub open_connections: Rc<Cell<usize>>,
+    pub reuse_rest: Rc<RefCell<ReuseRest>>,
     /// Space into which all tasks read.
     pub scratch: Rc<RefCell<Vec<u8>>>,
     /// Time limit for establishing the connection, and for the rest of a partly received reply.
@@ -346,7 +349,7 @@
         }
         if !received.is_empty() {
             let now = self.clock.now();
-            self.connection.reject_unasked_input(now, &self.metrics);
+            self.connection.reject_unasked_input(now, &self.reuse_rest, &self.metrics);
         }
         Ok(())
     }
--- a/crates/marshal/src/nodes.rs
+++ b/crates/marshal/src/nodes.rs
@@ -21,6 +21,7 @@
 use stonescale_connection::placement::{
     NodeConnections, Placement, PoolRoom, WaitingForward, WaitingForwards, place,
 };
+use stonescale_connection::reuse_rest::ReuseRest;
 use stonescale_connection::{ForwardKey, GiveUp};
 
 /// Fraction of the node's keepalive after which the marshal closes an idle connection, so that the node does
@@ -29,10 +30,6 @@
 /// Factor on that idle time when memory for node connections is short; connections used within the remaining
 /// time are likely to be used again.
 const PRESSURE_IDLE_FACTOR: f64 = 0.1;
-/// Time a connection stays idle before it is reused. A duplicate reply or stray bytes may directly follow a
-/// reply; they must have arrived by the time the connection is checked, or they would be taken for the reply
-/// to the next hit.
-const REUSE_DELAY: Span = Span::millis(15);
 /// One node may occupy one part in this many of the memory for bytes queued to all nodes.
 const NODE_QUEUE_DIVISOR: usize = 4;
 
@@ -102,6 +99,7 @@
     ledger: Ledger,
     metrics: Rc<Metrics>,
     open_connections: Rc<Cell<usize>>,
+    reuse_rest: Rc<RefCell<ReuseRest>>,
     scratch: Rc<RefCell<Vec<u8>>>,
 }
 
@@ -126,6 +124,7 @@
             ledger,
             metrics,
             open_connections: Rc::default(),
+            reuse_rest: Rc::default(),
             scratch: Rc::new(RefCell::new(vec![0; MAX_VALUE_BYTES])),
         }
     }
@@ -221,13 +220,14 @@
 
     /// The connection to the node that a forward may go on now. Those on which something has happened are closed.
     fn take_reusable(&mut self, node: usize, now: Time) -> Option<Rc<NodeConnection>> {
+        let rest = self.reuse_rest.borrow().current(now);
         let state = self.nodes.get_mut(node).and_then(Option::as_mut)?;
         state.connections.retain(|c| !c.is_draining());
         loop {
-            let connection = state.view(REUSE_DELAY, now).1?.clone();
+            let connection = state.view(rest, now).1?.clone();
             match connection.pending_input() {
                 PendingInput::None => return Some(connection),
-                PendingInput::Bytes => connection.reject_unasked_input(now, &self.metrics),
+                PendingInput::Bytes => connection.reject_unasked_input(now, &self.reuse_rest, &self.metrics),
                 PendingInput::Ended => connection.close(EndReason::Closed),
             }
         }
@@ -238,9 +238,10 @@
     fn open_if_needed(
         &mut self, node: usize, starving: &mut usize, now: Time,
     ) -> Result<Option<Time>, EndReason> {
+        let rest = self.reuse_rest.borrow().current(now);
         let Some(state) = self.state(node) else { return Ok(None) };
         let room = self.room(node, *starving);
-        match place(state.view(REUSE_DELAY, now).0, room, state.waiting.len(), now) {
+        match place(state.view(rest, now).0, room, state.waiting.len(), now) {
             Placement::Reuse => Ok(Some(now)),
             Placement::Wait { until } => Ok(until),
             Placement::Open => self.open(node, now).map(|()| None),
@@ -295,6 +296,7 @@
             ledger: self.ledger.clone(),
             metrics: self.metrics.clone(),
             open_connections: self.open_connections.clone(),
+            reuse_rest: self.reuse_rest.clone(),
             scratch: self.scratch.clone(),
             connect_timeout: self.connect_timeout,
         };
