--- a/crates/lab/src/main.rs
+++ b/crates/lab/src/main.rs
@@ -28,7 +28,8 @@
         #[arg(long, value_name = "FILE", default_value = "stonescale-demo.svg")]
         plot: PathBuf,
     },
-    /// Compare the processor time per hit of two builds of the marshal, in alternating rounds
+    /// Compare what hits cost two builds of the marshal, in alternating rounds: processor time, connections to nodes, hits
+    /// not served, broken rules
     Cost {
         #[command(flatten)]
         marshal: MarshalArgs,
@@ -44,6 +45,12 @@
         /// Seconds per round
         #[arg(long, default_value_t = 3)]
         seconds: u64,
+        /// What the nodes do to the hits
+        #[arg(long, value_enum, default_value_t)]
+        trouble: cost::Trouble,
+        /// Descriptors of each marshal
+        #[arg(long, default_value_t = 1_024)]
+        sockets: usize,
     },
     /// Measure the memory of connections and of a hit, and compare it with what the memory plan counts for them
     Sizes {
@@ -112,11 +119,13 @@
             println!("{table}");
             Ok(true)
         }
-        Command::Cost { marshal, versus, rounds, rate, seconds } => {
+        Command::Cost { marshal, versus, rounds, rate, seconds, trouble, sockets } => {
             let measurement = cost::Measurement {
                 rounds,
                 hits_per_second: rate,
                 round_duration: std::time::Duration::from_secs(seconds),
+                trouble,
+                sockets,
             };
             let costs = cost::run(&marshal.program()?, &versus, measurement)?;
             println!("{}", cost::table(["this", "versus"], &costs));
--- a/crates/lab/src/node.rs
+++ b/crates/lab/src/node.rs
@@ -148,6 +148,7 @@
     core_free_at: Vec<Instant>,
     commands_received: u64,
     connections: usize,
+    connections_accepted: u64,
     /// Number of restarts so far; connections of an earlier incarnation end.
     incarnation: u64,
 }
@@ -204,6 +205,7 @@
             core_free_at,
             commands_received: 0,
             connections: 0,
+            connections_accepted: 0,
             incarnation: 0,
         };
         let inner = Arc::new(Mutex::new(inner));
@@ -270,6 +272,11 @@
         self.lock().connections
     }
 
+    /// Connections accepted since the start, without those that were reset on accept.
+    pub fn connections_accepted(&self) -> u64 {
+        self.lock().connections_accepted
+    }
+
     /// Commands received whole.
     pub fn commands_received(&self) -> u64 {
         self.lock().commands_received
@@ -283,7 +290,11 @@
                 reset(stream);
                 continue;
             }
-            self.lock().connections += 1;
+            {
+                let mut inner = self.lock();
+                inner.connections += 1;
+                inner.connections_accepted += 1;
+            }
             let node = self.clone();
             let task = async move {
                 let stream = Arc::new(stream);
