Keys: what a build answers counts from its first answer, announced or not

Cause: answered keys were kept for the newest announced build only, and all of them were forgotten at an announcement.

Change: src/answered_keys.rs keeps the highest build that answered each key; hits of the key go to no lower build. Keys of the build announced last but one and of a build that goes back are forgotten. The bound stays (57,344 keys); when it is reached, keys of earlier builds make room, and those of the newest build keep theirs.

MAX_ANSWERED_KEYS moved; the test of the full table is as it was.

--- a/src/lib.rs
+++ b/src/lib.rs
@@ -1,6 +1,7 @@
 //! The decisions of one marshal, without wire formats or I/O: see `policy` for the decisions and `host` for
 //! the calls that they make of the program around them.
 
+pub mod answered_keys;
 pub mod host;
 pub mod index;
 pub mod load_shedding;
--- a/src/policy.rs
+++ b/src/policy.rs
@@ -85,10 +85,6 @@
 const MAX_HOLD_TARGET_SHARE: f64 = 0.1; // longest hold for room, of the target latency
 /// Of the target latency: a hit that is sent again so soon after a bounce may still be answered in time.
 const RETRY_AFTER_TARGET_SHARE: f64 = 0.2;
-/// Most keys remembered as answered by the newest build: 57,344 fill a hash table of 64 Ki places, some
-/// 600 KB. Past it, new keys stay with the earlier build as long as that has nodes, since a forgotten key
-/// might return to the earlier build.
-pub const MAX_ANSWERED_KEYS: usize = (1 << 16) / 8 * 7;
 const LIST_RETRY_DELAY: Span = Span::millis(500); // after the first failed request for the list, then doubled
 const MAX_LIST_RETRY_SHARE: f64 = 0.5; // of the interval within which the list must be requested
 
@@ -150,7 +146,7 @@
 impl Exposure {
     /// No further answered key can be remembered.
     fn is_key_table_full(&self) -> bool {
-        self.limits.sticky_keys && self.answered_keys.len() >= MAX_ANSWERED_KEYS
+        self.limits.sticky_keys && self.answered_keys.is_full()
     }
 
     fn bucket(&mut self, build: u16, group: usize) -> &mut f64 {
@@ -611,8 +607,10 @@
                     gate.record = BuildRecord::default();
                     self.exposure.buckets.retain(|(of, _), _| *of >= build);
                 }
-                if new_build || !status.is_active() {
-                    self.exposure.answered_keys = Default::default();
+                if !status.is_active() {
+                    self.exposure.answered_keys.forget_withdrawn(build);
+                } else if new_build && let Some((previous, _)) = before {
+                    self.exposure.answered_keys.forget_before(previous.min(build));
                 }
                 if before != Some((build, stage)) {
                     gate.record.stage_outcomes = 0.0;
@@ -712,10 +710,9 @@
             if group.effect == Effect::Mutating { ERROR_COST_TARGETS_MUTATING } else { ERROR_COST_TARGETS };
         let first = reason == ForwardReason::First;
         let may_probe = first && group.effect == Effect::Repeatable && self.handling.retry_budget >= 1.0;
-        let returning_key =
-            self.exposure.limits.sticky_keys && self.exposure.answered_keys.contains(&hit.key);
+        let answered_by = self.exposure.answered_keys.build_of(hit.key);
         let is_earlier = |n: &Node| Some(n.build) < self.gate.newest();
-        let untracked_key = hit.key != 0 && !returning_key && self.exposure.is_key_table_full();
+        let untracked_key = hit.key != 0 && answered_by.is_none() && self.exposure.is_key_table_full();
         let keep_earlier = untracked_key && self.fleet.nodes.ready().any(is_earlier);
         let target_seconds = group.target_latency.seconds();
         let list_settings = &self.fleet.list_settings;
@@ -729,6 +726,9 @@
             if !self.handling.may_run(hit, node.attributes, now) {
                 continue;
             }
+            if answered_by.is_some_and(|build| node.build < build) {
+                continue;
+            }
             let trial = self.gate.trial(node.build);
             if let Some((stage, cap)) = trial {
                 let closed =
@@ -737,8 +737,6 @@
                 {
                     continue;
                 }
-            } else if returning_key && Some(node.build) < self.gate.newest() {
-                continue;
             }
             if !self.fleet.accepts(
                 node,
@@ -915,9 +913,9 @@
         self.record_evidence(&forward, group, outcome, latency, work_seconds);
         self.update_node(&forward, outcome, latency, work_seconds);
         if outcome == ForwardOutcome::Ok {
-            let remember_key = self.exposure.limits.sticky_keys && !self.exposure.is_key_table_full();
-            if remember_key && key != 0 && Some(build) == self.gate.newest() {
-                self.exposure.answered_keys.insert(key);
+            let newest = self.gate.newest().filter(|newest| build >= *newest);
+            if let Some(newest) = newest.filter(|_| self.exposure.limits.sticky_keys && key != 0) {
+                self.exposure.answered_keys.record(key, build, newest);
             }
             self.handling.shedder.record_answer(group, latency.seconds());
             self.set_state(host, slot, HitState::Delivered);
--- a/src/state.rs
+++ b/src/state.rs
@@ -1,6 +1,7 @@
 //! The module's state by lifetime: of a forward, a hit, a node, the instance. Plain data; the decisions based
 //! on it are in `policy`.
 
+use crate::answered_keys::AnsweredKeys;
 use crate::host::{BuildStatus, ForwardOutcome, NodeAttributes, Readiness, Verdict};
 use crate::index::{IdIndex, hash_pair};
 use crate::load_shedding::LoadShedder;
@@ -9,7 +10,7 @@
     ExposureLimits, NodeListSettings, PathGroup, SiteLimits, Tenancy, VotingRules, WarmUp,
 };
 use crate::time::{Span, Time};
-use std::collections::{BTreeMap, HashSet, VecDeque};
+use std::collections::{BTreeMap, VecDeque};
 use std::ops::{Index, IndexMut};
 
 /// State of a hit; the last four are final.
@@ -423,8 +424,8 @@
     pub salt: u64,
     /// Tokens by build and path group.
     pub buckets: BTreeMap<(u16, usize), f64>,
-    /// Keys that the newest build has answered.
-    pub answered_keys: HashSet<u64>,
+    /// Kept where keys may not return.
+    pub answered_keys: AnsweredKeys,
 }
 
 /// What is recorded of the newest build; it is reset for the next one.
--- a/tests/decisions.rs
+++ b/tests/decisions.rs
@@ -265,6 +265,65 @@
     assert!(harness.nodes_of(held)[0] < 100);
 }
 
+/// Submits hits of this key until one of them is answered by a node of a new build; returns whether one was.
+fn answer_by_new_build(harness: &mut Harness, key: u64) -> bool {
+    (0..200).any(|_| {
+        let hit = harness.submit_with_key(REPEATABLE, key);
+        harness.advance(Span::millis(10));
+        let node = harness.nodes_of(hit).first().copied();
+        harness.complete_forward(hit, 0, ForwardOutcome::Ok, 60);
+        node.is_some_and(|node| node >= 100)
+    })
+}
+
+/// The nodes that hits of this key go to.
+fn nodes_of_key(harness: &mut Harness, key: u64) -> Vec<u64> {
+    (0..60)
+        .filter_map(|_| {
+            let hit = harness.submit_with_key(REPEATABLE, key);
+            harness.advance(Span::millis(10));
+            let node = harness.nodes_of(hit).first().copied();
+            harness.complete_forward(hit, 0, ForwardOutcome::Ok, 60);
+            node
+        })
+        .collect()
+}
+
+/// Keys that a build answered before its announcement were not kept, and went back to the earlier build once it was on
+/// trial (review/9).
+#[rstest]
+fn a_key_answered_by_an_unannounced_build_does_not_return_before_or_after_its_announcement() {
+    let mut settings = default_settings();
+    settings.exposure.sticky_keys = true;
+    let mut harness = start_released_with(settings, 10);
+    harness.run_traffic(600, REPEATABLE, ok_in_60_ms);
+    harness.add_ready_nodes(100..103, NEW_BUILD);
+    assert!(answer_by_new_build(&mut harness, 77));
+    let unannounced = nodes_of_key(&mut harness, 77);
+    assert!(unannounced.iter().all(|node| *node >= 100), "{unannounced:?}");
+    harness.set_stage(NEW_BUILD, 0, BuildStatus::OnTrial, 0.5);
+    let on_trial = nodes_of_key(&mut harness, 77);
+    assert!(!on_trial.is_empty() && on_trial.iter().all(|node| *node >= 100), "{on_trial:?}");
+    harness.set_stage(NEW_BUILD, 0, BuildStatus::GoingBack, 0.0);
+    let going_back = nodes_of_key(&mut harness, 77);
+    assert!(!going_back.is_empty() && going_back.iter().all(|node| *node < 100), "{going_back:?}");
+}
+
+/// The announcement of a further build, or its withdrawal, does not let keys of the build before it return.
+#[rstest]
+fn a_key_does_not_return_when_a_further_build_is_announced_or_goes_back() {
+    let mut settings = default_settings();
+    settings.exposure.sticky_keys = true;
+    let mut harness = start_trial_with(settings, 3);
+    assert!(answer_by_new_build(&mut harness, 77));
+    harness.set_stage(NEW_BUILD, 2, BuildStatus::Released, 1.0);
+    for status in [BuildStatus::OnTrial, BuildStatus::GoingBack] {
+        harness.set_stage(NEW_BUILD + 1, 0, status, 0.1);
+        let nodes = nodes_of_key(&mut harness, 77);
+        assert!(!nodes.is_empty() && nodes.iter().all(|node| *node >= 100), "{status:?}: {nodes:?}");
+    }
+}
+
 #[rstest]
 fn with_the_sticky_key_table_full_new_keys_stay_with_the_earlier_build_while_it_has_nodes() {
     let mut settings = default_settings();
@@ -272,7 +331,7 @@
     let mut harness = settings.start_marshal();
     harness.set_stage(NEW_BUILD, 0, BuildStatus::OnTrial, 1.0);
     harness.add_ready_nodes(100..103, NEW_BUILD);
-    let max_keys = stonescale::policy::MAX_ANSWERED_KEYS as u64;
+    let max_keys = stonescale::answered_keys::MAX_ANSWERED_KEYS as u64;
     for key in 1..=max_keys {
         harness.clear_calls_and_timers();
         let hit = harness.submit_with_key(REPEATABLE, key);
