Memory: a client is not cut for replies that wait behind an earlier one

Cause: replies that the marshal holds back behind an earlier one counted as output that the client does not take (select_stalled), so that a connection with nothing to read was stalled after 0.5 s.

Change: offered and waiting bytes are counted apart.

--- a/crates/budget/src/eviction.rs
+++ b/crates/budget/src/eviction.rs
@@ -7,8 +7,10 @@
 /// The state of a client connection that the selection depends on.
 #[derive(Clone, Copy, Debug)]
 pub struct ClientState {
-    /// Reply bytes not sent: those that its socket has not accepted, and replies that wait for earlier ones.
-    pub unsent_bytes: usize,
+    /// Reply bytes that its socket has not accepted.
+    pub offered_bytes: usize,
+    /// Bytes of replies that wait for earlier ones: the client has not been offered them.
+    pub waiting_bytes: usize,
     /// When it last accepted reply bytes or was last offered a reply.
     pub last_activity: Time,
     /// When the connection was accepted.
@@ -32,7 +34,8 @@
 
     /// It has no pending hit, no unsent reply and no incomplete command, and is not being closed.
     fn is_idle(&self) -> bool {
-        !self.has_pending_hits && !self.closing && self.unsent_bytes == 0 && self.receiving_since.is_none()
+        let nothing_unsent = self.offered_bytes == 0 && self.waiting_bytes == 0;
+        !self.has_pending_hits && !self.closing && nothing_unsent && self.receiving_since.is_none()
     }
 
     /// Since when it has occupied a connection without use: since it was accepted if it never sent a hit, else since its
@@ -75,20 +78,35 @@
     selected
 }
 
-/// Selects connections that have accepted none of their unsent reply bytes for `stall_timeout`, the one with the most
-/// unsent bytes first, until `bytes` are freed. A client that reads slowly is not selected, as it is active.
+/// Selects connections that have accepted none of the reply bytes offered to them for `stall_timeout`, the one with the
+/// most unsent bytes first, until `bytes` are freed. A client that reads slowly is not selected, as it is active, nor one
+/// whose replies only wait for an earlier one.
 pub fn select_stalled(clients: &[ClientState], now: Time, stall_timeout: Span, bytes: usize) -> Vec<usize> {
-    let mut selected = matching_indices(clients, |c| {
-        c.unsent_bytes > 0 && !c.closing && c.inactive_for(now) >= stall_timeout
-    });
-    selected.sort_by_key(|index| std::cmp::Reverse(clients[*index].unsent_bytes));
+    let stalled = |c: &ClientState| c.offered_bytes > 0 && !c.closing && c.inactive_for(now) >= stall_timeout;
+    let unsent_bytes = |c: &ClientState| c.offered_bytes + c.waiting_bytes;
+    select_largest(clients, matching_indices(clients, stalled), unsent_bytes, bytes)
+}
+
+/// Selects connections whose waiting replies are to be replaced by errors, the one with the most bytes of them first,
+/// until `bytes` are freed.
+pub fn select_waiting(clients: &[ClientState], bytes: usize) -> Vec<usize> {
+    let candidates = matching_indices(clients, |c| c.waiting_bytes > 0);
+    select_largest(clients, candidates, |c| c.waiting_bytes, bytes)
+}
+
+/// Selects of `candidates` those that free the most, as many as free `bytes` together.
+fn select_largest(
+    clients: &[ClientState], mut candidates: Vec<usize>, freed_by: impl Fn(&ClientState) -> usize,
+    bytes: usize,
+) -> Vec<usize> {
+    candidates.sort_by_key(|index| std::cmp::Reverse(freed_by(&clients[*index])));
     let mut freed = 0;
-    selected.retain(|index| {
+    candidates.retain(|index| {
         let needed = freed < bytes;
-        freed += clients[*index].unsent_bytes;
+        freed += freed_by(&clients[*index]);
         needed
     });
-    selected
+    candidates
 }
 
 /// Selects at most `max_count` connections to be closed once their hits are answered, the longest connected first,
--- a/crates/budget/tests/ledger.rs
+++ b/crates/budget/tests/ledger.rs
@@ -301,11 +301,12 @@
 // ---- Selection of connections to close ----
 
 fn client(
-    unsent_bytes: usize, inactive_ms: u64, commands: u64, has_pending_hits: bool,
+    offered_bytes: usize, inactive_ms: u64, commands: u64, has_pending_hits: bool,
 ) -> eviction::ClientState {
     let last_activity = Time::at(100_000_000_000) - Span::millis(inactive_ms);
     eviction::ClientState {
-        unsent_bytes,
+        offered_bytes,
+        waiting_bytes: 0,
         last_activity,
         accepted_at: last_activity,
         commands,
@@ -370,6 +371,24 @@
     assert_eq!(eviction::select_stalled(&clients, now, Span::millis(500), 1), [1]);
 }
 
+/// The marshal itself holds back what waits for an earlier reply: its client reads all that it is sent.
+#[test]
+fn a_connection_whose_replies_only_wait_for_an_earlier_one_is_not_stalled() {
+    let waiting = eviction::ClientState { waiting_bytes: 900, ..client(0, 9_000, 5, true) };
+    let both = eviction::ClientState { waiting_bytes: 300, ..client(100, 9_000, 5, true) };
+    let offered = client(350, 9_000, 5, true);
+    let now = Time::at(100_000_000_000);
+    assert_eq!(eviction::select_stalled(&[waiting, offered, both], now, Span::millis(500), 1_000), [2, 1]);
+}
+
+#[test]
+fn waiting_replies_are_given_up_where_there_are_most_until_enough_is_freed() {
+    let waiting = |bytes: usize| eviction::ClientState { waiting_bytes: bytes, ..client(0, 0, 5, true) };
+    let clients = [waiting(100), waiting(0), waiting(900), waiting(300)];
+    assert_eq!(eviction::select_waiting(&clients, 1_000), [2, 3]);
+    assert_eq!(eviction::select_waiting(&clients, 10_000), [2, 3, 0]);
+}
+
 #[test]
 fn the_longest_connected_are_rotated_after_a_minimum_tenure() {
     let clients = [client(0, 1_500, 3, true), client(0, 900, 1, true), client(0, 4_000, 90, true)];
--- a/crates/marshal/src/client.rs
+++ b/crates/marshal/src/client.rs
@@ -254,6 +254,10 @@
         }
         drop(write_buffer);
         self.registry.evict_stalled(remaining.len());
+        if !self.aborted.get() && self.write_buffer.borrow_mut().extend(remaining).is_ok() {
+            return;
+        }
+        self.registry.drop_waiting_replies(remaining.len());
         if self.aborted.get() || self.write_buffer.borrow_mut().extend(remaining).is_err() {
             // Part of a reply may have been sent: closing lets the client see that it is incomplete.
             self.abort();
@@ -287,12 +291,17 @@
             let unsent = write_buffer.len();
             write_buffer.consume(unsent, 0);
         }
-        if let Ok(mut commands) = self.commands.try_borrow_mut() {
-            commands.waiting_replies_mut().for_each(|reply| *reply = Reply::Line(Vec::new()));
-        }
+        self.replace_waiting_values(Vec::new);
         self.signal.raise();
     }
 
+    /// Releases the values that wait for earlier replies; `line` gives what is sent in their place.
+    fn replace_waiting_values(&self, line: impl Fn() -> Vec<u8>) {
+        let Ok(mut commands) = self.commands.try_borrow_mut() else { return };
+        let values = commands.waiting_replies_mut().filter(|reply| matches!(reply, Reply::Value(_)));
+        values.for_each(|reply| *reply = Reply::Line(line()));
+    }
+
     /// Whether the connection is to be closed at once, without its unsent replies.
     pub fn is_aborted(&self) -> bool {
         self.aborted.get()
@@ -355,8 +364,8 @@
             commands.waiting_replies().map(|reply| reply.as_slice().len()).sum()
         };
         eviction::ClientState {
-            unsent_bytes: self.write_buffer.try_borrow().map_or(0, |write_buffer| write_buffer.len())
-                + commands.as_deref().map_or(0, waiting_bytes),
+            offered_bytes: self.write_buffer.try_borrow().map_or(0, |write_buffer| write_buffer.len()),
+            waiting_bytes: commands.as_deref().map_or(0, waiting_bytes),
             last_activity: self.last_activity.get(),
             accepted_at: self.accepted_at,
             commands: commands.as_deref().map_or(0, ReplyQueue::commands),
@@ -431,11 +440,23 @@
         let clients = self.connected();
         let states: Vec<_> = clients.iter().map(|c| c.eviction_state()).collect();
         for index in eviction::select_stalled(&states, self.clock.now(), STALL_TIMEOUT, bytes) {
-            self.ledger.record_reclaimed(Purpose::ClientOutput, states[index].unsent_bytes);
+            let freed = states[index].offered_bytes + states[index].waiting_bytes;
+            self.ledger.record_reclaimed(Purpose::ClientOutput, freed);
             clients[index].abort();
         }
     }
 
+    /// Replaces values that wait for earlier replies by errors, which promise nothing, to free this many bytes of client
+    /// output.
+    fn drop_waiting_replies(&self, bytes: usize) {
+        let clients = self.connected();
+        let states: Vec<_> = clients.iter().map(|c| c.eviction_state()).collect();
+        for index in eviction::select_waiting(&states, bytes) {
+            self.ledger.record_reclaimed(Purpose::ClientOutput, states[index].waiting_bytes);
+            clients[index].replace_waiting_values(command::errored_reply);
+        }
+    }
+
     /// Marks up to `max_count` idle connections for closing to make room for others; the idle
     /// timeouts are for clients that sent several commands and for all others. Returns the number marked.
     pub fn close_idle(&self, idle_timeouts: (Span, Span), max_count: usize) -> usize {
--- a/crates/marshal/tests/memory.rs
+++ b/crates/marshal/tests/memory.rs
@@ -4,15 +4,17 @@
 use std::ops::Deref;
 use std::path::Path;
 use std::sync::{Mutex, MutexGuard, PoisonError};
+use std::thread;
 use std::time::{Duration, Instant};
 use stonescale_lab::World;
 use stonescale_lab::discovery::Entry;
-use stonescale_lab::load::{Load, LoadPlan};
+use stonescale_lab::load::{HitKind, Load, LoadPlan};
 use stonescale_lab::misbehaving::Misbehavior;
 use stonescale_lab::node::{FaultMode, NodeBehavior, ScriptedReply};
 use stonescale_lab::program::unique_temp_path;
+use stonescale_lab::raw_client::{RawClient, TestHit};
 use stonescale_lab::runtime::wait_until;
-use stonescale_lab::site::{Limits, REPEATABLE, TAGGED};
+use stonescale_lab::site::{Limits, MUTATING, REPEATABLE, TAGGED};
 use stonescale_lab::wire;
 
 const MIB: usize = 1 << 20;
@@ -364,3 +366,50 @@
     assert!(world.program.usage().unwrap().resident_bytes < 8 * MIB);
     assert_recovered(&world);
 }
+
+/// Hits behind the first one of a connection: their values are about the whole memory for client output.
+const HITS_BEHIND: u64 = 100;
+
+/// Sends a hit to which no node replies, and behind it hits whose replies have to wait for that one's.
+fn send_behind_unanswered(world: &World, first_id: u64) -> RawClient {
+    let hit = |number: u64, group: usize| {
+        let client_timeout = Duration::from_millis(1_400);
+        let kind = HitKind { group, share: 1.0, body_bytes: 4, client_timeout };
+        TestHit { id: format!("{:016x}", first_id + number), group: &world.path_groups[group], kind }
+    };
+    let commands_received = || world.nodes.iter().map(|node| node.commands_received()).sum::<u64>();
+    let mut client = RawClient::connect(world.program.addr).unwrap();
+    world.set_fault_mode_of_all_nodes(FaultMode::Silent);
+    let before = commands_received();
+    client.send(&hit(0, MUTATING).encode()).unwrap();
+    assert!(wait_until(TEST_TIMEOUT, || commands_received() > before));
+    world.set_fault_mode_of_all_nodes(FaultMode::Healthy);
+    let behind = (1..=HITS_BEHIND).flat_map(|number| hit(number, REPEATABLE).encode());
+    client.send(&behind.collect::<Vec<_>>()).unwrap();
+    client
+}
+
+/// Replies that wait in the marshal behind one that a node owes counted as output that their client does not take: whole
+/// connections of clients that read all that they are sent were cut (review/6).
+#[test]
+fn a_client_is_not_cut_for_replies_that_wait_behind_an_earlier_one() {
+    let world = exclusive_world(6, Limits { memory_mb: 32, sockets: 256 }, &[]);
+    for node in &world.nodes {
+        node.update_behavior(|behavior| (behavior.value_bytes, behavior.cores) = (60_000, 64));
+    }
+    let mut clients: Vec<_> = (1..=3_u64)
+        .map(|number| {
+            let client = send_behind_unanswered(&world, number << 16);
+            // Longer than a client may take no output while others need the memory.
+            thread::sleep(Duration::from_millis(600));
+            client
+        })
+        .collect();
+    let answered: Vec<_> = clients
+        .iter_mut()
+        .map(|client| (0..=HITS_BEHIND).take_while(|_| matches!(client.read_reply(), Ok(Some(_)))).count())
+        .collect();
+    let peak = world.program.usage().map_or(usize::MAX, |usage| usage.peak_bytes);
+    assert!(peak < 32 * MIB, "peak {peak}");
+    assert_eq!(answered, [HITS_BEHIND as usize + 1; 3]);
+}
