Nodes: a forward that waits is decided anew when the stage changes or its node restarts

Need: a forward may now wait for a connection for longer than the grace after which a lower cap binds, and for a node whose process is replaced meanwhile. It was allowed under the former stage.

Change: waiting forwards are withdrawn, as never sent, when the reported build, stage, status or cap changes and when the listed start of their node changes. A connection that can't be made ends only the oldest waiting forward if the node has other connections, and a node stands once among those that are waited for.

--- a/crates/marshal/src/core.rs
+++ b/crates/marshal/src/core.rs
@@ -14,7 +14,7 @@
 use futures_lite::future::{or, yield_now};
 use std::collections::{HashMap, HashSet};
 use std::rc::Rc;
-use stonescale::host::{ForwardOutcome, GiveUpReason, Host, ListUpdate, Verdict};
+use stonescale::host::{BuildStatus, ForwardOutcome, GiveUpReason, Host, ListUpdate, Verdict};
 use stonescale::policy::Marshal;
 use stonescale::state::Timer;
 use stonescale::time::{Span, Time};
@@ -308,13 +308,15 @@
 pub struct Core {
     marshal: Marshal,
     host: MarshalHost,
+    /// Build, stage, status and cap as last reported: forwards that wait were decided under them.
+    stage: Option<(u16, u8, BuildStatus, f64)>,
 }
 
 impl Core {
     /// Schedules the first sweep of idle connections and removed nodes.
     pub fn new(marshal: Marshal, mut host: MarshalHost) -> Self {
         host.timers.schedule(host.now, TimerEvent::Sweep);
-        Core { marshal, host }
+        Core { marshal, host, stage: None }
     }
 
     /// Runs until the process ends.
@@ -445,6 +447,12 @@
     ) {
         debug!("platform: build {build}, stage {stage}, {status:?}, cap {cap}, vote {vote:?}");
         let now = self.host.now;
+        // A report of a failed vote tells no stage.
+        let tells_stage = vote.is_none_or(|outcome| outcome == ForwardOutcome::Ok);
+        if tells_stage && self.stage != Some((build, stage, status, cap)) {
+            self.stage = Some((build, stage, status, cap));
+            self.host.nodes.withdraw_all_waiting();
+        }
         self.marshal.on_stage(&mut self.host, now, (build, stage), status, cap, age, vote);
     }
 
--- a/crates/marshal/src/nodes.rs
+++ b/crates/marshal/src/nodes.rs
@@ -36,6 +36,8 @@
 /// Address of a node, the connections to it, and the forwards that wait for one.
 struct NodeState {
     addr: SocketAddr,
+    /// Its listed start time.
+    started_at: Time,
     /// When the node was listed as removed; `None` while it is listed.
     removed_at: Option<Time>,
     connections: Vec<Rc<NodeConnection>>,
@@ -141,15 +143,21 @@
         }
         let removed_at = (readiness == Readiness::Gone).then(|| self.clock.now());
         let (connections, waiting) = (Vec::new(), WaitingForwards::default());
-        let state = self.nodes[node].get_or_insert(NodeState { addr, removed_at, connections, waiting });
+        let new = NodeState { addr, started_at, removed_at, connections, waiting };
+        let state = self.nodes[node].get_or_insert(new);
         state.removed_at = removed_at;
         if state.addr != addr || readiness != Readiness::Ready {
             Self::withdraw(&self.inbox, state);
         } else {
+            if state.started_at != started_at {
+                // They were meant for the process before, which may have run another build.
+                Self::withdraw_waiting(&self.inbox, state);
+            }
             // The process to which they were opened is gone, even if the host sent no reset.
             let outdated = state.connections.iter().filter(|c| c.opened_at < started_at);
             outdated.for_each(|c| c.close(EndReason::Restarted));
         }
+        state.started_at = started_at;
         if state.addr != addr {
             state.addr = addr;
             state.connections.clear();
@@ -159,10 +167,26 @@
     /// Drains all connections of a node, and withdraws the forwards of which nothing is written; replies to the others
     /// are still awaited.
     fn withdraw(inbox: &Inbox, state: &mut NodeState) {
-        let unwritten = state.connections.iter().filter_map(|c| c.drain(EndReason::Withdrawn));
-        for ForwardKey { hit, hop } in unwritten.chain(state.waiting.take_all()) {
+        for ForwardKey { hit, hop } in state.connections.iter().filter_map(|c| c.drain(EndReason::Withdrawn))
+        {
             inbox.push_forward_end(hit, hop, EndReason::Withdrawn, false);
         }
+        Self::withdraw_waiting(inbox, state);
+    }
+
+    fn withdraw_waiting(inbox: &Inbox, state: &mut NodeState) {
+        for ForwardKey { hit, hop } in state.waiting.take_all() {
+            inbox.push_forward_end(hit, hop, EndReason::Withdrawn, false);
+        }
+    }
+
+    /// Withdraws the forwards that wait for any node: what they were allowed by may no longer hold.
+    pub fn withdraw_all_waiting(&mut self) {
+        for node in std::mem::take(&mut self.nodes_waited_for) {
+            if let Some(state) = self.nodes.get_mut(node).and_then(Option::as_mut) {
+                Self::withdraw_waiting(&self.inbox, state);
+            }
+        }
     }
 
     /// Marks nodes left out of a full list as removed.
@@ -203,7 +227,8 @@
         }
         let forward = WaitingForward { key, deadline: now + wait };
         state.waiting.push(forward).map_err(|_| EndReason::NoSocket)?;
-        if !is_waited_for {
+        // It may still stand there from forwards that were withdrawn since.
+        if !is_waited_for && !self.nodes_waited_for.contains(&node) {
             self.nodes_waited_for.push_back(node);
         }
         self.metrics.forward_waited();
@@ -322,7 +347,9 @@
             }
             match self.open_if_needed(node, &mut starving, now) {
                 Ok(until) => look_again_at = look_again_at.into_iter().chain(until).min(),
-                Err(reason) => self.fail_waiting(node, reason),
+                Err(reason) if !self.has_established(node) => self.fail_waiting(node, reason),
+                // One of those that are established will carry them.
+                Err(_) => {}
             }
             if self.is_waited_for(node) {
                 self.nodes_waited_for.push_back(node);
@@ -335,11 +362,22 @@
         self.state(node).is_some_and(|state| !state.waiting.is_empty())
     }
 
-    /// Ends the forwards that wait for a node, as no connection to it could be made.
+    fn has_established(&self, node: usize) -> bool {
+        let connections = self.state(node).map_or(&[][..], |state| &state.connections);
+        connections.iter().any(|c| c.is_established() && !c.is_draining())
+    }
+
+    /// Ends the forwards that wait for a node, as no connection to it could be made: all of them if there is none, else
+    /// the oldest, for which it was to be made.
     fn fail_waiting(&mut self, node: usize, reason: EndReason) {
+        let only_oldest = self.has_established(node);
         let Some(state) = self.state_mut(node) else { return };
-        let waiting: Vec<_> = state.waiting.take_all().collect();
-        for ForwardKey { hit, hop } in waiting {
+        let failed: Vec<_> = if only_oldest {
+            state.waiting.pop().map(|forward| forward.key).into_iter().collect()
+        } else {
+            state.waiting.take_all().collect()
+        };
+        for ForwardKey { hit, hop } in failed {
             self.inbox.push_forward_end(hit, hop, reason, false);
         }
     }
--- a/crates/marshal/tests/departed_clients.rs
+++ b/crates/marshal/tests/departed_clients.rs
@@ -12,9 +12,11 @@
 use stonescale_lab::discovery::Entry;
 use stonescale_lab::load::HitKind;
 use stonescale_lab::node::{FaultMode, NodeBehavior, ScriptedReply};
+use stonescale_lab::platform::BuildStatus;
 use stonescale_lab::raw_client::{RawClient, TestHit};
 use stonescale_lab::runtime::wait_until;
 use stonescale_lab::site::{Limits, MUTATING, REPEATABLE, TAGGED};
+use stonescale_lab::world::FIRST_BUILD;
 
 /// Longer than any step of a test takes; a test that waits this long has failed.
 const TEST_TIMEOUT: Duration = Duration::from_secs(20);
@@ -203,11 +205,12 @@
     }
 }
 
-#[test]
-fn a_forward_queued_on_a_connection_being_established_is_withdrawn_when_its_client_leaves() {
-    let node = FullListener::start();
+/// Longer than the connection to a [`FullListener`] takes.
+const PATIENT_CLIENT_TIMEOUT: Duration = Duration::from_secs(5);
+
+/// A site whose only node is this listener; connections to it may take some seconds.
+fn world_with_slow_connections(node: &FullListener) -> World {
     let binary = Path::new(env!("CARGO_BIN_EXE_stonescale"));
-    let patient = Duration::from_secs(5);
     let world = World::start_with_config(
         binary,
         0,
@@ -216,11 +219,34 @@
         &["--log", "trace"],
         |config| {
             config["settings"]["limits"]["connect_timeout_ns"] = json!(4_000_000_000_u64);
-            config["settings"]["classes"][MUTATING]["deadline_ns"] = json!(patient.as_nanos() as u64);
+            config["settings"]["classes"][MUTATING]["deadline_ns"] =
+                json!(PATIENT_CLIENT_TIMEOUT.as_nanos() as u64);
         },
     )
     .unwrap();
-    world.discovery.publish([Entry::up("s-0", node.addr, stonescale_lab::world::FIRST_BUILD)]);
+    world.discovery.publish([Entry::up("s-0", node.addr, FIRST_BUILD)]);
+    world
+}
+
+/// A forward that waits for a connection must not be sent long after the stage by whose cap it was allowed.
+#[test]
+fn a_forward_that_waits_for_a_connection_is_decided_anew_when_the_stage_changes() {
+    let node = FullListener::start();
+    let world = world_with_slow_connections(&node);
+    let waiting = hit(&world, 0xaaaa, MUTATING, PATIENT_CLIENT_TIMEOUT);
+    let mut client = RawClient::connect(world.program.addr).unwrap();
+    client.send(&waiting.encode()).unwrap();
+    world.program.wait_for_log_line(&format!("hit {} forward 0", waiting.id), TEST_TIMEOUT).unwrap();
+    world.platform.announce(BuildStatus::testing(FIRST_BUILD + 1, 0, 0.1));
+    let withdrawn = format!("hit {} forward 0: Withdrawn", waiting.id);
+    world.program.wait_for_log_line(&withdrawn, TEST_TIMEOUT).unwrap();
+}
+
+#[test]
+fn a_forward_queued_on_a_connection_being_established_is_withdrawn_when_its_client_leaves() {
+    let node = FullListener::start();
+    let world = world_with_slow_connections(&node);
+    let patient = PATIENT_CLIENT_TIMEOUT;
     let (staying, leaving) = (hit(&world, 0xaaaa, MUTATING, patient), hit(&world, 0xbbbb, MUTATING, patient));
     let mut clients = Vec::new();
     for hit in [&staying, &leaving] {
