Laboratory: discovery goes down in several ways, answers in turn; a marshal is restarted

Discovery's stand-in rejects calls with 503, resets connections or leaves its port without a listener, and works on each call for a stated time, one after the other. World::restart kills the marshal and starts it again with the configuration of its first start; the checker's grace for drains can be set. For the tests of outages.

--- a/crates/lab/src/checker.rs
+++ b/crates/lab/src/checker.rs
@@ -501,6 +501,11 @@
         self.warming_nodes.insert(node.to_owned(), warming);
     }
 
+    /// Changes the time after a drain's report during which the node may still receive forwards.
+    pub fn set_drain_grace(&mut self, grace: Span) {
+        self.bounds.drain_grace = grace;
+    }
+
     /// The platform reported the state of the newest build to the marshal; `cap` is a share of the hits.
     pub fn build_reported(&mut self, build: u16, on_trial: bool, cap: f64, now: Time) {
         self.newest_build = Some((build, on_trial));
--- a/crates/lab/src/discovery.rs
+++ b/crates/lab/src/discovery.rs
@@ -1,16 +1,19 @@
-//! Stand-in for discovery: the full list of nodes, and watches of its changes, over HTTP/1.1.
+//! Stand-in for discovery: the full list of nodes, and watches of its changes, over HTTP/1.1. It can go down in several
+//! ways, and works through calls in turn.
 
 use crate::checker::SharedChecker;
-use crate::runtime::{Clock, Listener, Runtime, Stream};
+use crate::runtime::{Clock, Listener, ReservedPort, Runtime, Stream, listen_at};
 use async_channel::{Receiver, Sender};
+use async_executor::{Executor, Task};
 use async_io::Timer;
 use futures_lite::future::or;
 use futures_lite::{AsyncReadExt, AsyncWriteExt};
+use rustix::net::sockopt::set_socket_linger;
 use serde_json::{Value, json};
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 /// Interval of the empty lines on a watch without changes.
 const HEARTBEAT_INTERVAL: Duration = Duration::from_secs(2);
@@ -45,14 +48,32 @@
     }
 }
 
+/// What calls meet while discovery is down. Watches end when it goes down.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Outage {
+    /// Each call gets the status 503.
+    Unavailable,
+    /// Connections are accepted, and reset at once.
+    Reset,
+    /// Nothing listens at the port.
+    Refused,
+}
+
 #[derive(Default)]
 struct Inner {
     version: u64,
     /// Entries by id, each with the version in which it changed last.
     entries: BTreeMap<String, (u64, Entry)>,
     watches: Vec<Sender<String>>,
-    /// While set, watches end at once, and requests fail.
-    down: bool,
+    outage: Option<Outage>,
+    /// Accepts connections; none while the port refuses them.
+    accepting: Option<Task<()>>,
+    /// Number of connections accepted.
+    calls: usize,
+    /// Time that discovery works on one call.
+    service_time: Duration,
+    /// When it will have worked through the calls that wait.
+    busy_until: Option<Instant>,
     /// While set, requests are accepted, but only changes published afterwards are sent.
     silent: bool,
 }
@@ -63,6 +84,9 @@
     /// Loopback address at which discovery accepts connections.
     pub addr: SocketAddr,
     inner: Arc<Mutex<Inner>>,
+    /// Keeps the port while nothing listens there.
+    _port: Arc<ReservedPort>,
+    executor: Arc<Executor<'static>>,
     clock: Clock,
     checker: SharedChecker,
     path_sender: Sender<String>,
@@ -73,15 +97,32 @@
 impl Discovery {
     /// Starts discovery on a free port of the loopback address, with an empty list.
     pub fn start(runtime: &Runtime, checker: SharedChecker) -> Self {
-        let (listener, addr) = runtime.listen();
+        let port = ReservedPort::new().expect("a loopback port");
         let (path_sender, requested_paths) = async_channel::bounded(1024);
         let inner = Arc::new(Mutex::new(Inner { version: 1, ..Inner::default() }));
-        let discovery =
-            Discovery { addr, inner, clock: runtime.clock, checker, path_sender, requested_paths };
-        runtime.spawn(discovery.clone().accept(runtime.executor(), listener));
+        let discovery = Discovery {
+            addr: port.addr,
+            inner,
+            _port: Arc::new(port),
+            executor: runtime.executor(),
+            clock: runtime.clock,
+            checker,
+            path_sender,
+            requested_paths,
+        };
+        discovery.start_accepting();
         discovery
     }
 
+    /// Listens at the port, unless it is done already.
+    fn start_accepting(&self) {
+        let mut inner = self.lock();
+        if inner.accepting.is_none() {
+            let (listener, _) = listen_at(self.addr).expect("the reserved port");
+            inner.accepting = Some(self.executor.spawn(self.clone().accept(listener)));
+        }
+    }
+
     fn lock(&self) -> MutexGuard<'_, Inner> {
         self.inner.lock().unwrap_or_else(PoisonError::into_inner)
     }
@@ -127,13 +168,35 @@
         }
     }
 
-    /// While discovery is down, watches end and requests fail.
+    /// While discovery is down, watches end and calls get the status 503.
     pub fn set_down(&self, down: bool) {
+        self.set_outage(down.then_some(Outage::Unavailable));
+    }
+
+    /// Takes discovery down in this way, or brings it back.
+    pub fn set_outage(&self, outage: Option<Outage>) {
         let mut inner = self.lock();
-        inner.down = down;
-        if down {
+        inner.outage = outage;
+        if outage.is_some() {
             inner.watches.clear();
         }
+        // Dropped after the lock is released, with its listener.
+        let refusing = (outage == Some(Outage::Refused)).then(|| inner.accepting.take());
+        drop(inner);
+        drop(refusing);
+        if outage != Some(Outage::Refused) {
+            self.start_accepting();
+        }
+    }
+
+    /// Time that discovery works on each call from now on; calls wait in turn.
+    pub fn set_service_time(&self, service_time: Duration) {
+        self.lock().service_time = service_time;
+    }
+
+    /// Number of connections accepted so far.
+    pub fn call_count(&self) -> usize {
+        self.lock().calls
     }
 
     /// While silent, a new watch gets neither the current list nor empty lines.
@@ -162,15 +225,29 @@
         json!({"version": inner.version, "full": full, "servers": servers})
     }
 
-    async fn accept(self, executor: Arc<async_executor::Executor<'static>>, listener: Listener) {
+    async fn accept(self, listener: Listener) {
         loop {
             let Ok((stream, _)) = listener.accept().await else { continue };
             let discovery = self.clone();
-            executor.spawn(async move { drop(discovery.serve(stream).await) }).detach();
+            self.executor.spawn(async move { drop(discovery.serve(stream).await) }).detach();
         }
     }
 
+    /// Time at which a call that comes now has had its turn.
+    fn next_turn(&self) -> Instant {
+        let mut inner = self.lock();
+        let now = Instant::now();
+        let done = inner.busy_until.map_or(now, |busy| busy.max(now)) + inner.service_time;
+        inner.busy_until = Some(done);
+        done
+    }
+
     async fn serve(&self, mut stream: Stream) -> std::io::Result<()> {
+        self.lock().calls += 1;
+        if self.lock().outage == Some(Outage::Reset) {
+            set_socket_linger(stream.get_ref(), Some(Duration::ZERO))?;
+            return Ok(());
+        }
         let mut head = Vec::new();
         let mut scratch = [0; 1024];
         while !head.ends_with(b"\r\n\r\n") {
@@ -183,7 +260,8 @@
         let head = String::from_utf8_lossy(&head).into_owned();
         let path = head.split(' ').nth(1).unwrap_or_default().to_owned();
         let _ = self.path_sender.try_send(path.clone());
-        if self.lock().down {
+        Timer::at(self.next_turn()).await;
+        if self.lock().outage.is_some() {
             return stream.write_all(b"HTTP/1.1 503 Service Unavailable\r\nContent-Length: 0\r\n\r\n").await;
         }
         stream.write_all(b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n").await?;
--- a/crates/lab/src/program.rs
+++ b/crates/lab/src/program.rs
@@ -104,6 +104,12 @@
         let _ = Command::new("kill").args([&format!("-{name}"), &self.pid().to_string()]).status();
     }
 
+    /// Kills the process and waits for its end.
+    pub fn kill(&mut self) {
+        let _ = self.child.kill();
+        let _ = self.child.wait();
+    }
+
     /// The exit status, once the process has exited.
     pub fn exit_status(&mut self) -> Option<ExitStatus> {
         self.child.try_wait().ok().flatten()
@@ -147,8 +153,7 @@
 
 impl Drop for Program {
     fn drop(&mut self) {
-        let _ = self.child.kill();
-        let _ = self.child.wait();
+        self.kill();
         let _ = std::fs::remove_file(&self.config_path);
     }
 }
--- a/crates/lab/src/world.rs
+++ b/crates/lab/src/world.rs
@@ -11,7 +11,7 @@
 use crate::runtime::Runtime;
 use crate::site::{self, Limits, PathGroup};
 use serde_json::Value;
-use std::path::Path;
+use std::path::{Path, PathBuf};
 use std::time::Duration;
 
 /// Number of the build that all nodes run at the start.
@@ -34,6 +34,24 @@
     pub runtime: Runtime,
     /// Number of nodes started so far; the next node's name is made from it.
     started_nodes: usize,
+    /// How the marshal is started.
+    launch: Launch,
+}
+
+/// Program, configuration, arguments and environment of a marshal.
+struct Launch {
+    binary: PathBuf,
+    config: Value,
+    args: Vec<String>,
+    env: Vec<(String, String)>,
+}
+
+impl Launch {
+    fn start(&self) -> Result<Program, String> {
+        let args: Vec<_> = self.args.iter().map(String::as_str).collect();
+        let env: Vec<_> = self.env.iter().map(|(name, value)| (name.as_str(), value.as_str())).collect();
+        Program::start_with_env(&self.binary, &self.config, &args, &env)
+    }
 }
 
 impl World {
@@ -76,9 +94,32 @@
         let mut config =
             site::config(limits, discovery.addr, platform.addr, &build_status, &discovery.full_list());
         edit_config(&mut config);
-        let program = Program::start_with_env(binary, &config, args, env)?;
+        let launch = Launch {
+            binary: binary.to_owned(),
+            config,
+            args: args.iter().map(|arg| arg.to_string()).collect(),
+            env: env.iter().map(|(name, value)| (name.to_string(), value.to_string())).collect(),
+        };
+        let program = launch.start()?;
         let started_nodes = nodes.len();
-        Ok(World { program, nodes, discovery, platform, checker, path_groups, runtime, started_nodes })
+        Ok(World {
+            program,
+            nodes,
+            discovery,
+            platform,
+            checker,
+            path_groups,
+            runtime,
+            started_nodes,
+            launch,
+        })
+    }
+
+    /// Kills the marshal, and starts it again with the configuration of its first start, on another port.
+    pub fn restart(&mut self) -> Result<(), String> {
+        self.program.kill();
+        self.program = self.launch.start()?;
+        Ok(())
     }
 
     /// Starts well-behaved clients; the returned handle gives their results and stops them.
