Lists: forwards need a lease on the node list while no watch confirms it

Trace of the case before the change: the last failed call of the first outage began at 6.007 s, discovery was back at 11.021 s with the drain, the next call began at 11.689 s, 668 ms later; two hits were sent to the node after 391 and 542 ms. In the second outage the call came 818 ms after the return.

Cause: after a failed call the marshal waited 0.25 to 7.5 s (backoff up to half the interval for asking, times jitter) and went on by the list that it had, whatever discovery had learnt meanwhile. The same cause on related paths: a restarted marshal forwarded by the list of its configuration until its first call was answered, and a call without an answer for 4 s was given up and made again, so that a discovery that takes longer was never heard.

Change: src/list_lease.rs (no I/O) holds a lease on the list. A forward that is to be sent renews a lease that is about to end, by a call; once it has ended nothing is forwarded, hits are held and then bounced. Only marshals with traffic call often; failures that show nothing (slow, unusable, no local resources) lead to backoff. A call that waits for its turn is kept beside a new one. While connections to discovery do not come up, short attempts go on beside the first one.

Why it works: a forward needs a proof younger than the grace that discovery had nothing to tell, so the length and kind of the outage, and how long a crowded discovery takes to answer, change only how long hits are bounced, not where they go.

--- a/crates/marshal/src/core.rs
+++ b/crates/marshal/src/core.rs
@@ -283,10 +283,6 @@
         self.discovery.watch(on);
     }
 
-    fn fetch(&mut self) {
-        self.discovery.fetch();
-    }
-
     fn set_timer(&mut self, delay: Span, token: u64) {
         let handle = self.timers.schedule(self.now + delay, TimerEvent::MarshalTimer(token));
         match Timer::from(token) {
@@ -319,6 +315,12 @@
         Core { marshal, host, stage: None }
     }
 
+    /// Begins to follow discovery, whose lists count from now on.
+    pub fn follow_discovery(&mut self) {
+        let now = self.host.clock.now();
+        self.marshal.follow_discovery(&mut self.host, now);
+    }
+
     /// Runs until the process ends.
     pub async fn run(mut self) {
         let inbox = self.host.inbox.clone();
@@ -385,7 +387,17 @@
             let Some(hit) = self.pop_next(&inbox.incoming_hits) else { break };
             self.handle_hit(hit);
         }
-        self.host.serve_waiting_forwards();
+        self.serve_waiting_forwards();
+    }
+
+    /// Sends the forwards for which there is a connection now; none while the lease on the list has expired, since they
+    /// were decided before.
+    fn serve_waiting_forwards(&mut self) {
+        if self.marshal.is_list_usable(self.host.clock.now()) {
+            self.host.serve_waiting_forwards();
+        } else {
+            self.host.nodes.withdraw_all_waiting();
+        }
     }
 
     /// Takes the next item of a queue and updates the current time.
@@ -399,14 +411,24 @@
         let now = self.host.now;
         match event {
             ControlEvent::NodeList(update, entries, _charge) => self.apply_node_list(update, entries),
-            ControlEvent::ListFailed => self.marshal.on_list_failed(&mut self.host, now),
+            ControlEvent::ListConfirmed => self.marshal.on_list_confirmed(&mut self.host, now),
+            ControlEvent::ListCallFailed { started_at, failure } => {
+                self.marshal.on_list_call_failed(&mut self.host, now, started_at, failure)
+            }
+            ControlEvent::DiscoveryUnreachable { started_at } => {
+                self.marshal.on_discovery_unreachable(&mut self.host, now, started_at)
+            }
+            ControlEvent::WatchEnded(end) => self.marshal.on_watch_ended(&mut self.host, now, end),
             ControlEvent::Stage(stage, vote) => self.apply_stage(stage, vote),
             ControlEvent::WrongAnswerReport { node, group, age } => match self.host.node_numbers.get(&node) {
                 Some((number, _)) => self.marshal.on_wrong_answer_report(now, *number as u64, group, age),
                 None => warn!("ignoring a wrong-answer report about an unknown node"),
             },
             ControlEvent::AddressesChanged(discovery, platform) => {
-                discovery.into_iter().for_each(|addr| self.host.discovery.set_address(addr));
+                if let Some(addr) = discovery {
+                    self.host.discovery.set_address(addr);
+                    self.marshal.on_discovery_moved(&mut self.host, now);
+                }
                 platform.into_iter().for_each(|addr| self.host.platform.set_address(addr));
             }
             ControlEvent::PlatformCounts(build, group, forwards, failed) => {
--- a/crates/marshal/src/discovery.rs
+++ b/crates/marshal/src/discovery.rs
@@ -1,27 +1,34 @@
-//! HTTP/1.1 client of discovery: fetches the full node list and watches it for changes. The decision module chooses
-//! when to send a request, and is notified of every failure.
+//! HTTP/1.1 client of discovery: watches the node list. The decision module chooses when to call, and is told how each
+//! call and each watch ended.
 
-use crate::inbox::{ControlEvent, Inbox, NodeEntry};
-use crate::reactor::Async;
+use crate::clock::{Clock, duration};
+use crate::inbox::{ControlEvent, Inbox};
+use crate::metrics::Metrics;
+use crate::node_list::{List, LocalityNames};
+use crate::reactor::{Async, Timer};
 use crate::turn::{Interest, Signal, Wakeup, connect, read_available, wait_for_wakeup};
 use async_executor::{LocalExecutor, Task};
-use serde::Deserialize;
-use std::borrow::Cow;
+use futures_lite::future::or;
 use std::cell::{Cell, RefCell};
-use std::io::Write;
+use std::fmt;
+use std::io::{self, ErrorKind, Write};
 use std::net::{SocketAddr, TcpStream};
 use std::rc::Rc;
 use std::time::{Duration, Instant};
-use stonescale::host::{ListUpdate, NodeAttributes, Readiness};
-use stonescale::time::Time;
-use stonescale_budget::{Ledger, Purpose};
+use stonescale::host::ListUpdate;
+use stonescale::list_lease::{ListCallFailure, WatchEnd};
+use stonescale::time::{Span, Time};
+use stonescale_budget::{Charge, Ledger, Purpose};
+use stonescale_connection::socket_errors::{ConnectFailure, classify_connect_error};
 use stonescale_formats::http::ResponseParser;
 use stonescale_formats::lines::LineBuffer;
-use stonescale_site::WireNames;
-use tracing::info;
+use tracing::{debug, info};
 
-/// The protocol page promises an empty line every 2 s; after two missing ones the connection is taken for dead.
+/// The protocol page promises an empty line every 2 s; after two missing ones a watch is taken for dead. A call without an
+/// answer for so long is made again beside the first one, which may still have its turn.
 const SILENCE_TIMEOUT: Duration = Duration::from_millis(4_000);
+/// Longest wait for the first byte of an answer.
+const ANSWER_TIMEOUT: Duration = Duration::from_secs(30);
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(1_000);
 /// Room for a list of some twenty thousand nodes, which is sent as one line.
 const MAX_LINE_BYTES: usize = 4 << 20;
@@ -30,305 +37,379 @@
 const LINE_BUDGET_DIVISOR: usize = 4;
 /// Bytes charged for the parsed entries per byte of their text: address, locality and times take less room parsed.
 const ENTRY_BYTES_PER_TEXT_BYTE: usize = 1;
+const READ_BUFFER_BYTES: usize = 16 * 1024;
 
-/// Sends requests to discovery, and passes the lists received to the inbox.
+/// Calls discovery, and passes the lists received to the inbox.
 pub struct Discovery {
+    shared: Rc<Shared>,
+    executor: Rc<LocalExecutor<'static>>,
+}
+
+/// What all calls use.
+struct Shared {
     addr: Cell<SocketAddr>,
     locality_names: Rc<LocalityNames>,
     inbox: Rc<Inbox>,
-    executor: Rc<LocalExecutor<'static>>,
+    clock: Clock,
+    /// Time after which an attempt to connect that has not come up is reported, and another one made beside it.
+    connect_attempt_timeout: Duration,
     /// Version of the node list last received.
-    version: Rc<Cell<Option<u64>>>,
-    watch: RefCell<Option<Task<()>>>,
-    fetch: RefCell<Option<Task<()>>>,
-    /// The watch on the previous address, until the current one has delivered a list.
-    previous_watch: Rc<RefCell<Option<Task<()>>>>,
-    /// Number of the newest request; failures of older ones are not reported.
-    newest_request: Rc<Cell<u64>>,
+    version: Cell<Option<u64>>,
+    /// The newest call, or the watch that it has become.
+    current: RefCell<Option<Task<()>>>,
+    /// An earlier one that may still deliver: a watch on the previous address, or a call that waits for its turn. It ends
+    /// once the current one has delivered a list.
+    earlier: RefCell<Option<Task<()>>>,
+    /// Number of the last call.
+    last_number: Cell<u64>,
+    /// Number of the call whose end is reported.
+    current_number: Cell<u64>,
+    /// Calls that failed since the last list.
+    failures_in_a_row: Cell<u32>,
     ledger: Ledger,
-}
-
-/// Names of the zones and the kinds of nodes; an entry's locality is stored as indices into them.
-pub struct LocalityNames {
-    pub zones: Vec<String>,
-    pub kinds: Vec<String>,
-}
-
-impl LocalityNames {
-    pub fn new(names: &WireNames) -> Self {
-        LocalityNames { zones: names.zones.clone(), kinds: names.kinds.clone() }
-    }
-
-    /// Converts one entry of the list. An error names the faulty key.
-    fn parse_entry(&self, server: &Server) -> Result<NodeEntry, String> {
-        let index_of = |names: &[String], name: &str| names.iter().position(|n| n == name);
-        let addr = server.addr.parse().map_err(|_| "addr is not an IP address and port")?;
-        let readiness = match &*server.state {
-            "up" => Readiness::Ready,
-            "draining" => Readiness::Draining,
-            "removed" => Readiness::Gone,
-            other => return Err(format!("state '{other}' is unknown")),
-        };
-        // All unknown zones share one index, as do all unknown kinds; no known kind has that index, nor
-        // any of the first 255 zones.
-        let attributes = NodeAttributes {
-            zone: index_of(&self.zones, &server.zone)
-                .and_then(|index| u8::try_from(index).ok())
-                .unwrap_or(u8::MAX),
-            kind: index_of(&self.kinds, &server.kind).unwrap_or(self.kinds.len()) as u16,
-            cell: server.cell.unwrap_or(0.0) as u16,
-            weight: server.weight.unwrap_or(1.0) as f32,
-        };
-        let build = Some(server.image_id)
-            .filter(|b| (0.0..65536.0).contains(b))
-            .ok_or("image_id is not a build number")?;
-        let started_at = Time::at((server.started_ms.unwrap_or(0.0) as u64).saturating_mul(1_000_000));
-        Ok((server.id.clone().into_owned(), addr, attributes, readiness, build as u16, started_at))
-    }
-
-    /// Returns the version of a list object, whether it is the full list, and its entries. One invalid entry makes
-    /// the whole list invalid: if it were skipped, a drain could be missed for good.
-    pub fn parse_list(&self, list: List) -> Result<(u64, bool, Vec<NodeEntry>), String> {
-        let entries: Result<Vec<_>, _> = list.servers.iter().map(|server| self.parse_entry(server)).collect();
-        Ok((list.version, list.full, entries?))
-    }
-}
-
-/// A list object of discovery's protocol; its strings borrow from the line that holds them.
-#[derive(Deserialize)]
-pub struct List<'a> {
-    version: u64,
-    full: bool,
-    #[serde(borrow)]
-    servers: Vec<Server<'a>>,
-}
-
-#[derive(Deserialize)]
-struct Server<'a> {
-    #[serde(borrow)]
-    id: Cow<'a, str>,
-    #[serde(borrow)]
-    addr: Cow<'a, str>,
-    #[serde(borrow)]
-    zone: Cow<'a, str>,
-    #[serde(borrow)]
-    kind: Cow<'a, str>,
-    cell: Option<f64>,
-    #[serde(borrow)]
-    state: Cow<'a, str>,
-    weight: Option<f64>,
-    /// Missing or null: started a long time ago.
-    started_ms: Option<f64>,
-    image_id: f64,
+    metrics: Rc<Metrics>,
 }
 
 impl Discovery {
-    /// `version` is that of the node list already held, from which a watch continues.
+    /// `version` is that of the node list already held, from which a watch continues. An attempt to connect that has not
+    /// come up within `connect_attempt_timeout` is reported.
     pub fn new(
         addr: SocketAddr, locality_names: Rc<LocalityNames>, inbox: Rc<Inbox>,
-        executor: Rc<LocalExecutor<'static>>, version: Option<u64>, ledger: Ledger,
+        executor: Rc<LocalExecutor<'static>>, version: Option<u64>, (ledger, metrics): (Ledger, Rc<Metrics>),
+        (clock, connect_attempt_timeout): (Clock, Span),
     ) -> Self {
-        let version = Rc::new(Cell::new(version));
-        let (watch, fetch, previous_watch) = (RefCell::default(), RefCell::default(), Rc::default());
-        let (addr, newest_request) = (Cell::new(addr), Rc::default());
-        Discovery {
-            addr,
+        let shared = Shared {
+            addr: Cell::new(addr),
             locality_names,
             inbox,
-            executor,
-            version,
-            watch,
-            fetch,
-            previous_watch,
-            newest_request,
+            clock,
+            connect_attempt_timeout: duration(connect_attempt_timeout),
+            version: Cell::new(version),
+            current: RefCell::default(),
+            earlier: RefCell::default(),
+            last_number: Cell::default(),
+            current_number: Cell::default(),
+            failures_in_a_row: Cell::default(),
             ledger,
-        }
+            metrics,
+        };
+        Discovery { shared: Rc::new(shared), executor }
     }
 
-    /// Sends requests to `addr` from now on. The open watch goes on until the new address has delivered a list, so
-    /// that no drain is missed in between.
+    /// Calls go to `addr` from now on. The open watch goes on until the new address has delivered a list, so that no
+    /// drain is missed in between.
     pub fn set_address(&self, addr: SocketAddr) {
-        self.addr.set(addr);
-        if let Some(watch) = self.watch.take() {
-            // After several changes of address in a row, only the oldest watch is sure to be connected.
-            self.previous_watch.borrow_mut().get_or_insert(watch);
-            self.watch(true);
-        }
+        self.shared.addr.set(addr);
     }
 
-    /// Opens a watch in place of any other one, or closes it.
+    /// Calls discovery for a watch, or ends all calls and watches.
     pub fn watch(&self, on: bool) {
-        // The running watch is closed first: two of them would deliver each change twice.
-        self.watch.take();
-        if on {
-            let since = self.version.get().map_or(String::new(), |version| format!("&since={version}"));
-            let request = self.request(format!("/v1/endpoints?follow=1{since}"));
-            *self.watch.borrow_mut() = Some(self.executor.spawn(request.run()));
+        let shared = &self.shared;
+        let previous = shared.current.take();
+        if !on {
+            drop((previous, shared.earlier.take()));
+            return;
         }
+        // Of several earlier ones only the oldest is kept: it is the next to have its turn, or the one sure to be
+        // connected.
+        let earlier = shared.earlier.take().filter(|task| !task.is_finished());
+        *shared.earlier.borrow_mut() = earlier.or(previous.filter(|task| !task.is_finished()));
+        let number = shared.last_number.get() + 1;
+        shared.last_number.set(number);
+        shared.current_number.set(number);
+        let call = Call {
+            shared: shared.clone(),
+            addr: shared.addr.get(),
+            number,
+            attempt_started_at: Cell::new(shared.clock.now()),
+            phase: Cell::new(CallPhase::Waiting),
+            last_heard_at: Cell::new(shared.clock.now()),
+        };
+        *shared.current.borrow_mut() = Some(self.executor.spawn(call.run()));
     }
+}
+
+/// How far a call has come.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum CallPhase {
+    /// No list has come yet.
+    Waiting,
+    /// The same, and the call was reported as failed for want of an answer.
+    Overdue,
+    /// It has delivered a list, and is a watch now.
+    Watching,
+}
+
+/// Why a call or a watch ended.
+#[derive(Debug)]
+enum CallError {
+    Connect(io::Error),
+    /// The connection failed or was closed before the first byte of an answer.
+    NoAnswer(Option<io::Error>),
+    Status(u16),
+    /// Nothing was received for this long.
+    Silent(Duration),
+    /// The connection failed or was closed later.
+    Ended(Option<io::Error>),
+    /// What came can't be used.
+    Invalid(String),
+    NoRoom,
+}
 
-    /// Requests the full list, in place of any running request for it.
-    pub fn fetch(&self) {
-        let request = self.request("/v1/endpoints".into());
-        *self.fetch.borrow_mut() = Some(self.executor.spawn(request.run()));
+impl fmt::Display for CallError {
+    fn fmt(&self, f: &mut fmt::Formatter) -> fmt::Result {
+        match self {
+            CallError::Connect(e) => write!(f, "connect failed: {e}"),
+            CallError::NoAnswer(Some(e)) | CallError::Ended(Some(e)) => write!(f, "connection failed: {e}"),
+            CallError::NoAnswer(None) => f.write_str("connection closed by discovery without an answer"),
+            CallError::Ended(None) => f.write_str("connection closed by discovery"),
+            CallError::Status(status) => write!(f, "response status {status}"),
+            CallError::Silent(wait) => write!(f, "nothing received for {wait:?}"),
+            CallError::Invalid(text) => f.write_str(text),
+            CallError::NoRoom => f.write_str("no room for the list"),
+        }
     }
+}
 
-    fn request(&self, path: String) -> Request {
-        let (locality_names, inbox, version) =
-            (self.locality_names.clone(), self.inbox.clone(), self.version.clone());
-        let (previous_watch, newest_request) = (self.previous_watch.clone(), self.newest_request.clone());
-        let number = newest_request.get() + 1;
-        newest_request.set(number);
-        let ledger = self.ledger.clone();
-        Request {
-            addr: self.addr.get(),
-            path,
-            number,
-            locality_names,
-            inbox,
-            version,
-            previous_watch,
-            newest_request,
-            ledger,
+impl CallError {
+    /// What the failure of a call shows; for a call that has delivered nothing.
+    fn failure(&self) -> ListCallFailure {
+        match self {
+            CallError::Connect(e) => match classify_connect_error(e) {
+                ConnectFailure::NoLocalResources => ListCallFailure::Inconclusive,
+                ConnectFailure::Refused | ConnectFailure::TimedOut | ConnectFailure::Unreachable => {
+                    ListCallFailure::Unreachable
+                }
+            },
+            CallError::NoAnswer(_) | CallError::Status(500..=599) => ListCallFailure::Rejected,
+            CallError::Status(_)
+            | CallError::Silent(_)
+            | CallError::Ended(_)
+            | CallError::Invalid(_)
+            | CallError::NoRoom => ListCallFailure::Inconclusive,
         }
     }
 }
 
-struct Request {
+/// A call for a watch, which becomes that watch.
+struct Call {
+    shared: Rc<Shared>,
     addr: SocketAddr,
-    path: String,
     number: u64,
-    locality_names: Rc<LocalityNames>,
-    inbox: Rc<Inbox>,
-    version: Rc<Cell<Option<u64>>>,
-    previous_watch: Rc<RefCell<Option<Task<()>>>>,
-    newest_request: Rc<Cell<u64>>,
-    ledger: Ledger,
+    /// When the attempt to connect began that failed last, or that came up.
+    attempt_started_at: Cell<Time>,
+    phase: Cell<CallPhase>,
+    last_heard_at: Cell<Time>,
 }
 
-impl Request {
+impl Call {
     async fn run(self) {
-        if let Err(error) = self.read_response().await {
-            info!("discovery: {error}");
-            if self.is_newest() {
-                self.inbox.push_control_event(ControlEvent::ListFailed);
+        let Err(error) = self.follow().await;
+        self.log_end(&error);
+        if !self.is_current() {
+            return;
+        }
+        match (self.phase.get(), &error) {
+            (CallPhase::Watching, CallError::Silent(_)) => {
+                self.report_watch_end(WatchEnd::Silent { last_heard_at: self.last_heard_at.get() })
             }
+            (CallPhase::Watching, _) => self.report_watch_end(WatchEnd::Closed),
+            (CallPhase::Waiting, error) => self.report_failure(error.failure()),
+            (CallPhase::Overdue, _) => {}
         }
     }
 
-    fn is_newest(&self) -> bool {
-        self.newest_request.get() == self.number
+    /// Is it the one whose end counts?
+    fn is_current(&self) -> bool {
+        self.shared.current_number.get() == self.number
     }
 
-    /// Sends the request and applies each line of the response as it arrives. An error says why the request failed;
-    /// a watch always ends with one.
-    async fn read_response(&self) -> Result<(), String> {
-        let stream = connect(self.addr, CONNECT_TIMEOUT).await.map_err(|e| format!("connect failed: {e}"))?;
-        let head =
-            format!("GET {} HTTP/1.1\r\nHost: {}\r\nAccept: application/json\r\n\r\n", self.path, self.addr);
-        // The send buffer of a new connection has room for these few bytes, so that the write does not block.
-        stream.get_ref().write_all(head.as_bytes()).map_err(|e| format!("request not sent: {e}"))?;
-        let (mut response, mut lines) = (
-            ResponseParser::default(),
-            LineBuffer::new(MAX_LINE_BYTES.min(self.ledger.cap(Purpose::Discovery) / LINE_BUDGET_DIVISOR)),
-        );
-        let mut charge = self.ledger.empty_charge(Purpose::Discovery);
-        let (mut scratch, mut body, mut line) = (vec![0; 16 * 1024], Vec::new(), Vec::new());
+    fn log_end(&self, error: &CallError) {
+        // One line for each outage, not one for each of its calls.
+        if self.phase.get() == CallPhase::Watching || self.shared.failures_in_a_row.get() == 0 {
+            info!("discovery: {error}");
+        } else {
+            debug!("discovery: {error}");
+        }
+    }
+
+    fn report_watch_end(&self, end: WatchEnd) {
+        self.shared.inbox.push_control_event(ControlEvent::WatchEnded(end));
+    }
+
+    fn report_failure(&self, failure: ListCallFailure) {
+        let shared = &self.shared;
+        shared.failures_in_a_row.set(shared.failures_in_a_row.get().saturating_add(1));
+        shared.metrics.list_call_failed(failure);
+        let started_at = self.attempt_started_at.get();
+        shared.inbox.push_control_event(ControlEvent::ListCallFailed { started_at, failure });
+    }
+
+    /// Sends the request and applies each line of the response as it arrives, until the connection ends.
+    async fn follow(&self) -> Result<std::convert::Infallible, CallError> {
+        let stream = self.connect().await.map_err(CallError::Connect)?;
+        self.send_request(&stream).map_err(|e| CallError::NoAnswer(Some(e)))?;
+        let ledger = &self.shared.ledger;
+        let max_line_bytes = MAX_LINE_BYTES.min(ledger.cap(Purpose::Discovery) / LINE_BUDGET_DIVISOR);
+        let (mut response, mut lines) = (ResponseParser::default(), LineBuffer::new(max_line_bytes));
+        let mut charge = ledger.empty_charge(Purpose::Discovery);
+        let (mut scratch, mut body, mut line) = (vec![0; READ_BUFFER_BYTES], Vec::new(), Vec::new());
         loop {
-            let closed = Self::read_body(&stream, &mut scratch, &mut response, &mut body).await?;
+            let closed = self.read_body(&stream, &mut scratch, &mut response, &mut body).await?;
             if response.status != 0 && response.status != 200 {
-                return Err(format!("response status {}", response.status));
+                return Err(CallError::Status(response.status));
             }
             lines.feed(&body);
             let finished = closed || response.is_complete();
             if finished {
                 lines.feed(b"\n");
             }
-            // A list for which there is no room is requested again as a whole, as part of a list is of no use.
-            let held_bytes = |lines: &LineBuffer, line: &Vec<u8>| lines.allocated_bytes() + line.capacity();
-            charge.resize(held_bytes(&lines, &line)).map_err(|_| "no room for the list")?;
-            while lines.next_line(&mut line)? {
-                charge.resize(held_bytes(&lines, &line)).map_err(|_| "no room for the list")?;
+            resize_charge(&mut charge, &lines, &line)?;
+            while lines.next_line(&mut line).map_err(|e| CallError::Invalid(e.into()))? {
+                resize_charge(&mut charge, &lines, &line)?;
                 self.apply_line(&line)?;
             }
             if line.capacity() > scratch.len() {
                 line = Vec::new();
             }
-            charge.resize(held_bytes(&lines, &line)).map_err(|_| "no room for the list")?;
+            resize_charge(&mut charge, &lines, &line)?;
             if finished {
-                let complete = response.is_complete() || response.is_close_delimited();
-                let is_watch = self.path.contains("follow");
-                return if complete && !is_watch {
-                    Ok(())
-                } else {
-                    Err("connection closed by discovery".into())
-                };
+                return Err(CallError::Ended(None));
             }
         }
     }
 
+    /// Connects within `CONNECT_TIMEOUT`. While the attempt does not come up, others are made beside it: a network that
+    /// comes back is noticed by them, as the first one is repeated by the system a second later at the earliest.
+    async fn connect(&self) -> io::Result<Async<TcpStream>> {
+        let attempt_timeout = self.shared.connect_attempt_timeout;
+        let further_attempts = async {
+            Timer::after(attempt_timeout).await;
+            self.report_unreachable();
+            loop {
+                self.attempt_started_at.set(self.shared.clock.now());
+                match connect(self.addr, attempt_timeout).await {
+                    Err(e) if e.kind() == ErrorKind::TimedOut => self.report_unreachable(),
+                    end => return end,
+                }
+            }
+        };
+        or(connect(self.addr, CONNECT_TIMEOUT), further_attempts).await
+    }
+
+    fn report_unreachable(&self) {
+        if self.is_current() {
+            let started_at = self.attempt_started_at.get();
+            self.shared.inbox.push_control_event(ControlEvent::DiscoveryUnreachable { started_at });
+        }
+    }
+
+    fn send_request(&self, stream: &Async<TcpStream>) -> io::Result<()> {
+        let since = self.shared.version.get().map_or(String::new(), |version| format!("&since={version}"));
+        let head = format!(
+            "GET /v1/endpoints?follow=1{since} HTTP/1.1\r\nHost: {}\r\nAccept: application/json\r\n\r\n",
+            self.addr
+        );
+        // The send buffer of a new connection has room for these few bytes, so that the write does not block.
+        stream.get_ref().write_all(head.as_bytes())
+    }
+
     /// Reads the next bytes of the body; true once the peer has closed the connection.
     async fn read_body(
-        stream: &Async<TcpStream>, scratch: &mut [u8], response: &mut ResponseParser, body: &mut Vec<u8>,
-    ) -> Result<bool, String> {
+        &self, stream: &Async<TcpStream>, scratch: &mut [u8], response: &mut ResponseParser,
+        body: &mut Vec<u8>,
+    ) -> Result<bool, CallError> {
         body.clear();
-        let (signal, deadline) = (Signal::default(), Instant::now() + SILENCE_TIMEOUT);
+        let has_answer = response.status != 0;
+        let (signal, wait_began) = (Signal::default(), Instant::now());
+        let mut timeout = SILENCE_TIMEOUT;
         let interest = Interest { read: true, ..Interest::default() };
         loop {
+            let deadline = wait_began + timeout;
             if wait_for_wakeup(stream, interest, &signal, Some(deadline)).await == Wakeup::DeadlineReached {
-                return Err(format!("nothing received for {SILENCE_TIMEOUT:?}"));
+                if has_answer || timeout == ANSWER_TIMEOUT {
+                    return Err(CallError::Silent(timeout));
+                }
+                self.become_overdue(timeout);
+                timeout = ANSWER_TIMEOUT;
+                continue;
             }
             match read_available(stream, scratch) {
                 Ok(None) => {}
+                Ok(Some([])) if !has_answer => return Err(CallError::NoAnswer(None)),
                 Ok(Some([])) => return Ok(true),
-                Ok(Some(bytes)) => return response.feed(bytes, body).map(|()| false).map_err(Into::into),
-                Err(e) => return Err(format!("connection failed: {e}")),
+                Ok(Some(bytes)) => {
+                    self.last_heard_at.set(self.shared.clock.now());
+                    let fed = response.feed(bytes, body).map_err(|e| CallError::Invalid(e.into()));
+                    return fed.map(|()| false);
+                }
+                Err(e) if !has_answer => return Err(CallError::NoAnswer(Some(e))),
+                Err(e) => return Err(CallError::Ended(Some(e))),
             }
         }
     }
 
-    /// Parses one line of a response and passes its list to the inbox; empty lines only keep the connection alive.
-    fn apply_line(&self, line: &[u8]) -> Result<(), String> {
+    /// Reports the call as failed, and goes on waiting: a crowded discovery answers in turn, and a call that is given up
+    /// loses its turn.
+    fn become_overdue(&self, waited: Duration) {
+        if self.is_current() && self.phase.get() == CallPhase::Waiting {
+            info!("discovery: no answer for {waited:?}, calling again beside the call that waits");
+            self.report_failure(ListCallFailure::Inconclusive);
+        }
+        self.phase.set(CallPhase::Overdue);
+    }
+
+    /// Parses one line of a response and passes its list to the inbox; empty lines only show that nothing has changed.
+    fn apply_line(&self, line: &[u8]) -> Result<(), CallError> {
+        let shared = &self.shared;
         if line.trim_ascii().is_empty() {
+            // Without a version the first line has to be a list.
+            if shared.version.get().is_some() {
+                self.confirm_list();
+            }
             return Ok(());
         }
-        let charge = self.ledger.charge(Purpose::Discovery, line.len() * ENTRY_BYTES_PER_TEXT_BYTE);
-        let charge = charge.map_err(|_| "no room for the entries of the list")?;
-        let list: List = serde_json::from_slice(line).map_err(|e| format!("invalid line: {e}"))?;
-        let (version, full, entries) = self.locality_names.parse_list(list)?;
-        if !full && self.version.get().is_some_and(|current| version < current) {
+        let charge = shared.ledger.charge(Purpose::Discovery, line.len() * ENTRY_BYTES_PER_TEXT_BYTE);
+        let charge = charge.map_err(|_| CallError::NoRoom)?;
+        let list: List =
+            serde_json::from_slice(line).map_err(|e| CallError::Invalid(format!("invalid line: {e}")))?;
+        let (version, full, entries) = shared.locality_names.parse_list(list).map_err(CallError::Invalid)?;
+        if !full && shared.version.get().is_some_and(|current| version < current) {
             // The changes don't apply to the list held, so that the next request is for the full list.
-            self.version.set(None);
-            return Err(format!("changes of version {version} are older than the list held"));
+            shared.version.set(None);
+            let text = format!("changes of version {version} are older than the list held");
+            return Err(CallError::Invalid(text));
         }
-        if self.is_newest() {
-            drop(self.previous_watch.take());
-        }
-        self.version.set(Some(version));
-        self.inbox.push_control_event(ControlEvent::NodeList(
-            if full { ListUpdate::Full } else { ListUpdate::Delta },
-            entries,
-            charge,
-        ));
+        shared.version.set(Some(version));
+        let update = if full { ListUpdate::Full } else { ListUpdate::Delta };
+        shared.inbox.push_control_event(ControlEvent::NodeList(update, entries, charge));
+        self.confirm_list();
         Ok(())
     }
-}
-
-#[cfg(test)]
-mod tests {
-    use super::*;
 
-    #[test]
-    fn a_zone_index_beyond_u8_is_treated_as_an_unknown_zone() {
-        let zones = (0..300).map(|n| format!("z{n}")).collect();
-        let names = LocalityNames { zones, kinds: vec!["m".into()] };
-        let zone = |name: &str| {
-            let line = format!(
-                r#"{{"version":1,"full":true,"servers":[{{"id":"s","addr":"127.0.0.1:1","zone":"{name}","kind":"m","state":"up","image_id":1}}]}}"#
-            );
-            let (_, _, entries) = names.parse_list(serde_json::from_str(&line).unwrap()).unwrap();
-            entries[0].2.zone
-        };
-        assert_eq!(["z0", "z254", "z256", "z299", "none"].map(zone), [0, 254, u8::MAX, u8::MAX, u8::MAX]);
+    /// The list held is current. Ends the other call or watch, unless this is a watch on the previous address.
+    fn confirm_list(&self) {
+        let shared = &self.shared;
+        if self.phase.replace(CallPhase::Watching) == CallPhase::Watching || self.addr != shared.addr.get() {
+            return;
+        }
+        let earlier = shared.earlier.take();
+        if !self.is_current() {
+            // This is the earlier one: it takes the place of the call that was made beside it.
+            shared.current_number.set(self.number);
+            drop(shared.current.replace(earlier));
+        }
+        shared.metrics.list_call_answered();
+        let failures = shared.failures_in_a_row.replace(0);
+        if failures > 0 {
+            info!("discovery: watch opened after {failures} failed calls");
+        }
+        shared.inbox.push_control_event(ControlEvent::ListConfirmed);
     }
 }
+
+/// Charges the memory of what is received. A list for which there is no room is requested again as a whole, as part of a
+/// list is of no use.
+fn resize_charge(charge: &mut Charge, lines: &LineBuffer, line: &Vec<u8>) -> Result<(), CallError> {
+    charge.resize(lines.allocated_bytes() + line.capacity()).map_err(|_| CallError::NoRoom)
+}
--- a/crates/marshal/src/inbox.rs
+++ b/crates/marshal/src/inbox.rs
@@ -10,6 +10,7 @@
 use std::net::SocketAddr;
 use std::rc::Rc;
 use stonescale::host::{BuildStatus, ForwardOutcome, ListUpdate, NodeAttributes, Readiness};
+use stonescale::list_lease::{ListCallFailure, WatchEnd};
 use stonescale::time::{Span, Time};
 use stonescale_budget::Charge;
 use stonescale_budget::buffer::Block;
@@ -24,8 +25,14 @@
 pub enum ControlEvent {
     /// A node list update, with the memory charge that covers its entries.
     NodeList(ListUpdate, Vec<NodeEntry>, Charge),
-    /// The newest request to discovery failed.
-    ListFailed,
+    /// The list held is current, by a call that is a watch from now on; its list comes before this event.
+    ListConfirmed,
+    /// The call to discovery failed whose last attempt to connect began at this time.
+    ListCallFailed { started_at: Time, failure: ListCallFailure },
+    /// An attempt to connect to discovery, begun at this time, has not come up in time; the call goes on.
+    DiscoveryUnreachable { started_at: Time },
+    /// The watch that delivered the list ended.
+    WatchEnded(WatchEnd),
     /// State of the newest build; in the response to a vote, with the outcome of that vote.
     Stage(StageReport, Option<ForwardOutcome>),
     WrongAnswerReport {
--- a/crates/marshal/src/main.rs
+++ b/crates/marshal/src/main.rs
@@ -16,6 +16,7 @@
 #[cfg(feature = "mutants")]
 mod mutants;
 mod node_connection;
+mod node_list;
 mod node_reply;
 mod nodes;
 mod platform;
--- a/crates/marshal/src/metrics.rs
+++ b/crates/marshal/src/metrics.rs
@@ -8,6 +8,7 @@
 use prometheus_client::metrics::family::Family;
 use prometheus_client::registry::Registry;
 use stonescale::host::GiveUpReason;
+use stonescale::list_lease::ListCallFailure;
 use tracing::info;
 
 #[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
@@ -27,6 +28,11 @@
     sent: bool,
 }
 
+#[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
+struct ListCallLabel {
+    result: String,
+}
+
 /// Why a command was refused without becoming a hit.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, EncodeLabelValue)]
 pub enum Refusal {
@@ -74,6 +80,7 @@
     forwards_waited: Counter,
     node_connections_opened: Counter,
     node_inputs_unasked: Counter,
+    list_calls: Family<ListCallLabel, Counter>,
     /// The counters of the usual way of a hit, which need no look-up.
     hits_delivered: Counter,
     forwards_served: Counter,
@@ -92,6 +99,7 @@
             forwards_waited: Counter::default(),
             node_connections_opened: Counter::default(),
             node_inputs_unasked: Counter::default(),
+            list_calls: Family::default(),
             hits_delivered: Counter::default(),
             forwards_served: Counter::default(),
         };
@@ -133,6 +141,7 @@
             "Connections to nodes closed for input that no forward had asked for",
             metrics.node_inputs_unasked.clone(),
         );
+        registry.register("list_calls", "Calls to discovery by result", metrics.list_calls.clone());
         let delivered = AnswerLabel { answer: Answer::Delivered };
         metrics.hits_delivered = metrics.hits.get_or_create(&delivered).clone();
         let served = ForwardLabel { reason: EndReason::Served, sent: true };
@@ -192,6 +201,16 @@
         self.node_inputs_unasked.inc();
     }
 
+    /// Counts a call to discovery that delivered a list.
+    pub fn list_call_answered(&self) {
+        self.list_calls.get_or_create(&ListCallLabel { result: "Answered".into() }).inc();
+    }
+
+    /// Counts a call to discovery that failed.
+    pub fn list_call_failed(&self, failure: ListCallFailure) {
+        self.list_calls.get_or_create(&ListCallLabel { result: format!("{failure:?}") }).inc();
+    }
+
     /// Logs the counters that are not zero, one event for each family.
     pub fn log(&self) {
         let mut text = String::new();
--- a/crates/marshal/src/serve.rs
+++ b/crates/marshal/src/serve.rs
@@ -5,9 +5,10 @@
 use crate::clients::ClientServer;
 use crate::clock::{Clock, duration};
 use crate::core::{Core, MarshalHost};
-use crate::discovery::{Discovery, List, LocalityNames};
+use crate::discovery::Discovery;
 use crate::inbox::{ControlEvent, Inbox, NodeEntry};
 use crate::metrics::Metrics;
+use crate::node_list::{List, LocalityNames};
 use crate::nodes::NodePool;
 use crate::platform::{self, Platform};
 use crate::reactor::{self, Async, Timer};
@@ -125,7 +126,7 @@
     // Keep only what a reload compares; a node list may have thousands of entries.
     startup::remove_snapshot(&mut root);
     let settings = startup::settings(&root)?;
-    let (list_by_request, call_timeout) = stonescale_site::control_plane_settings(settings)?;
+    let (list_lease, call_timeout) = stonescale_site::control_plane_settings(settings)?;
     let ledger = Ledger::new(&plan);
 
     let listener = reactor::listen(listen).map_err(|e| format!("listen: {listen}: {e}"))?;
@@ -148,7 +149,8 @@
         inbox.clone(),
         executor.clone(),
         Some(version),
-        ledger.clone(),
+        (ledger.clone(), metrics.clone()),
+        (clock, list_lease.connect_attempt_timeout()),
     );
     let groups: Vec<String> = names.groups.iter().map(|g| g.name.clone()).collect();
     let addresses = (discovery_addr, platform_addr);
@@ -167,13 +169,10 @@
         metrics.clone(),
     );
     let marshal = stonescale_site::start_marshal(settings, seed, clock.now(), &mut host)?;
-    if !list_by_request {
-        // Where list changes are pushed without a request, the watch receives them.
-        host.watch(true);
-    }
     let mut core = Core::new(marshal, host);
     core.apply_stage(newest_build, None);
     core.apply_node_list(ListUpdate::Cached, entries);
+    core.follow_discovery();
     executor.spawn(core.run()).detach();
     let report_every = Rc::new(Cell::new(operator.memory.report_every));
     let log = Rc::new(log);
@@ -331,7 +330,6 @@
     fn cancel(&mut self, _: u32, _: u8) {}
     fn vote(&mut self, _: u16, _: u8, _: stonescale::host::Verdict) {}
     fn watch(&mut self, _: bool) {}
-    fn fetch(&mut self) {}
     fn set_timer(&mut self, _: stonescale::time::Span, _: u64) {}
     fn log(&mut self, _: &str) {}
 }
--- a/crates/simhost/src/reply.rs
+++ b/crates/simhost/src/reply.rs
@@ -77,10 +77,6 @@
         self.record(1100, &[&[u8::from(on)]]);
     }
 
-    fn fetch(&mut self) {
-        self.record(1110, &[]);
-    }
-
     fn set_timer(&mut self, delay: Span, token: u64) {
         let delay_ns = delay.min(MAX_TIMER).as_nanos();
         self.record(1040, &[&delay_ns.to_le_bytes(), &token.to_le_bytes()]);
--- a/crates/site/src/lib.rs
+++ b/crates/site/src/lib.rs
@@ -4,6 +4,7 @@
 
 use serde_json::Value;
 use stonescale::host::Host;
+use stonescale::list_lease::LeaseTerms;
 use stonescale::policy::Marshal;
 use stonescale::settings::{
     DedupScope, Effect, ExposureLimits, NodeListSettings, PathGroup, SiteLimits, StageControl, Tenancy,
@@ -45,6 +46,11 @@
         Ok(Span::nanos(self.number(key)?.max(0.0) as u64))
     }
 
+    /// An optional duration in nanoseconds, zero if absent.
+    fn span_or_zero(&self, key: &str) -> Result<Span, String> {
+        self.optional(key).map_or(Ok(Span::ZERO), |_| self.span(key))
+    }
+
     /// An optional boolean, false if absent.
     fn flag(&self, key: &str) -> Result<bool, String> {
         self.optional(key)
@@ -94,6 +100,22 @@
     })
 }
 
+fn node_list_settings(settings: &ConfigObject) -> Result<NodeListSettings, String> {
+    let rules = ConfigObject(settings.required("rules")?, "rules.");
+    let rollout = ConfigObject(settings.required("specifics")?, "specifics.");
+    let null = Value::Null;
+    let prices = ConfigObject(settings.optional("prices").unwrap_or(&null), "prices.");
+    Ok(NodeListSettings {
+        marshal_index: settings.number("me")? as usize,
+        zone: settings.number_or_zero("zone")? as u8,
+        cross_zone_cost: prices.number_or_zero("cross_zone")?,
+        on_request: settings.string("membership_mode")? == "ask",
+        max_request_interval: rules.span("ask_within_ns")?,
+        drain_grace: rules.span_or_zero("stop_sending_within_ns")?,
+        parallel_layout: rollout.optional("layout").and_then(Value::as_str) == Some("parallel"),
+    })
+}
+
 /// Starts a marshal with the settings object in `text`, which is JSON. Errors name the faulty key.
 pub fn start_marshal_from_json(
     text: &[u8], seed: u64, now: Time, host: &mut impl Host,
@@ -108,9 +130,6 @@
     let rules = ConfigObject(settings.required("rules")?, "rules.");
     let limits = ConfigObject(settings.required("limits")?, "limits.");
     let rollout = ConfigObject(settings.required("specifics")?, "specifics.");
-    let null = Value::Null;
-    let prices = ConfigObject(settings.optional("prices").unwrap_or(&null), "prices.");
-
     let mut groups = Vec::new();
     for (index, value) in settings.list("classes")?.iter().enumerate() {
         groups.push(path_group(value, &format!("classes[{index}]."))?);
@@ -154,14 +173,7 @@
         calls_per_s: rollout.number("calls_per_s")?,
         reported_share: rollout.number_or_zero("reported_share")?,
     };
-    let node_list = NodeListSettings {
-        marshal_index: voting.marshal_index,
-        zone: settings.number_or_zero("zone")? as u8,
-        cross_zone_cost: prices.number_or_zero("cross_zone")?,
-        on_request: settings.string("membership_mode")? == "ask",
-        max_request_interval: rules.span("ask_within_ns")?,
-        parallel_layout: rollout.optional("layout").and_then(Value::as_str) == Some("parallel"),
-    };
+    let node_list = node_list_settings(&settings)?;
     let warm_up = WarmUp {
         initial_share: rules.number("cold_from")?,
         duration: rules.span("warm_up_ns")?,
@@ -224,10 +236,9 @@
     Ok((limits.span("connect_timeout_ns")?, limits.span("keepalive_ns")?))
 }
 
-/// Whether discovery sends the node list only on request, and the timeout of a vote call to the platform.
-pub fn control_plane_settings(root: &Value) -> Result<(bool, Span), String> {
+/// The terms of the lease on the node list, and the timeout of a vote call to the platform.
+pub fn control_plane_settings(root: &Value) -> Result<(LeaseTerms, Span), String> {
     let settings = ConfigObject(root, "");
-    let on_request = settings.string("membership_mode")? == "ask";
     let call_timeout = ConfigObject(settings.required("specifics")?, "specifics.").span("call_timeout_ns")?;
-    Ok((on_request, call_timeout))
+    Ok((LeaseTerms::new(&node_list_settings(&settings)?), call_timeout))
 }
--- a/src/host.rs
+++ b/src/host.rs
@@ -14,6 +14,8 @@
     NoSecond,
     /// Its deadline passed.
     TimeUp,
+    /// The lease on the node list had expired for as long as it may be held.
+    ListUnconfirmed,
 }
 
 /// Everything that the module asks of its host. Ids of hits and nodes are those that the host passed in; a
@@ -33,8 +35,6 @@
     fn vote(&mut self, build: u16, stage: u8, verdict: Verdict);
     /// Subscribes to the node list, or ends the subscription.
     fn watch(&mut self, on: bool);
-    /// Requests the node list once.
-    fn fetch(&mut self);
     /// Sets a timer: `Marshal::on_timer` is to be called with `token` after `delay`.
     fn set_timer(&mut self, delay: Span, token: u64);
     /// Writes a message to the log; the module logs why it votes a build back.
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -4,6 +4,7 @@
 pub mod answered_keys;
 pub mod host;
 pub mod index;
+pub mod list_lease;
 pub mod load_shedding;
 pub mod outcomes;
 pub mod policy;
--- a/src/policy.rs
+++ b/src/policy.rs
@@ -1,6 +1,6 @@
 //! All decisions of one marshal. A host owns one `Marshal` and calls one method per event: `on_list_*`,
 //! `on_stage`, `on_platform_counts`, `on_hit`, `on_forward_completed`, `on_wrong_answer_report`,
-//! `on_client_left`, `on_timer`. The module answers through the trait `Host` of `host.rs`. State is in
+//! `on_client_left`, `on_timer`, and those on discovery that `follow_discovery` names. The module answers through the trait `Host` of `host.rs`. State is in
 //! `state.rs`, settings are in `settings.rs`.
 //!
 //! Ordinary path (the design): the build on trial gets hits up to its cap, the cheapest path groups first;
@@ -22,6 +22,7 @@
 //! 5. Wrong answers: running log odds on clients' reports.
 //! 6. Slowdown over time, of the newest build, or of the whole fleet in step with that build's traffic.
 
+use crate::list_lease::{LeaseTerms, ListCallFailure, ListLease, WatchEnd};
 use crate::outcomes::{OutcomeCounts, sum_all, sum_by_group};
 use crate::{host::*, index::hash_pair, load_shedding::*, settings::*, state::*, time::Span, time::Time};
 use rand::{RngExt, SeedableRng};
@@ -85,8 +86,6 @@
 const MAX_HOLD_TARGET_SHARE: f64 = 0.1; // longest hold for room, of the target latency
 /// Of the target latency: a hit that is sent again so soon after a bounce may still be answered in time.
 const RETRY_AFTER_TARGET_SHARE: f64 = 0.2;
-const LIST_RETRY_DELAY: Span = Span::millis(500); // after the first failed request for the list, then doubled
-const MAX_LIST_RETRY_SHARE: f64 = 0.5; // of the interval within which the list must be requested
 
 fn error_score_decay(elapsed: Span) -> f64 {
     (-elapsed.ratio_to(ERROR_SCORE_DECAY)).exp()
@@ -545,7 +544,12 @@
                 mean_work_seconds,
             },
             gate: ReleaseGate { voting, first_stage_cap, expected_bad_shares, ..ReleaseGate::default() },
-            fleet: Fleet { list_settings, warm_up, list_retry_delay: LIST_RETRY_DELAY, ..Fleet::default() },
+            fleet: Fleet {
+                list_settings,
+                warm_up,
+                list_lease: ListLease::new(LeaseTerms::new(&list_settings)),
+                ..Fleet::default()
+            },
             exposure: Exposure { limits: exposure_limits, salt: seed, ..Exposure::default() },
             hits: Hits::default(),
             waiting: Vec::new(),
@@ -558,7 +562,7 @@
     pub fn on_list_begin(&mut self, now: Time, update: ListUpdate) {
         self.now = now;
         self.fleet.nodes.begin_list(update != ListUpdate::Delta);
-        self.fleet.list_retry_delay = LIST_RETRY_DELAY;
+        self.fleet.list_lease.reset_retry_delay();
     }
 
     /// An entry of the list; `started_at` is when the node's process started, `EPOCH` for long ago.
@@ -579,13 +583,73 @@
     }
 
     /// A request for the list failed, or the subscription was dropped: retry with exponential backoff and
-    /// jitter.
+    /// jitter. For hosts that follow discovery by calls of their own, see `follow_discovery`.
     pub fn on_list_failed(&mut self, host: &mut impl Host, now: Time) {
         self.now = now;
-        let fleet = &mut self.fleet;
-        host.set_timer(fleet.list_retry_delay * self.rng.random_range(0.5..1.5), Timer::RequestList.token());
-        fleet.list_retry_delay = (fleet.list_retry_delay * 2.0)
-            .min(fleet.list_settings.max_request_interval * MAX_LIST_RETRY_SHARE);
+        let delay = self.fleet.list_lease.draw_retry_delay(&mut self.rng);
+        host.set_timer(delay, Timer::RequestList.token());
+    }
+
+    /// The host follows discovery by calls from now on, whose ends it reports by `on_list_confirmed`,
+    /// `on_list_call_failed`, `on_discovery_unreachable` and `on_watch_ended`. The list held is used only as long
+    /// as its lease lasts.
+    pub fn follow_discovery(&mut self, host: &mut impl Host, now: Time) {
+        self.now = now;
+        self.fleet.list_lease.start(now);
+        match self.fleet.list_settings.on_request {
+            // Called at the creation of the marshal.
+            true => self.fleet.list_lease.record_call(now),
+            false => self.call_discovery(host),
+        }
+    }
+
+    /// A call delivered a list, or the word that the list held is current, and goes on as a watch.
+    pub fn on_list_confirmed(&mut self, host: &mut impl Host, now: Time) {
+        self.now = now;
+        self.fleet.list_lease.record_list();
+        self.dispatch_waiting(host);
+    }
+
+    /// The call to discovery that began at `started_at` failed.
+    pub fn on_list_call_failed(
+        &mut self, host: &mut impl Host, now: Time, started_at: Time, failure: ListCallFailure,
+    ) {
+        self.now = now;
+        let lease = &mut self.fleet.list_lease;
+        let delay = lease.record_call_failure(now, started_at, failure, &mut self.rng);
+        host.set_timer(delay, Timer::RequestList.token());
+        self.dispatch_waiting(host);
+    }
+
+    /// An attempt of the running call to connect to discovery, begun at `started_at`, has not come up in time.
+    pub fn on_discovery_unreachable(&mut self, host: &mut impl Host, now: Time, started_at: Time) {
+        self.now = now;
+        self.fleet.list_lease.record_unreachable(started_at, &mut self.rng);
+        self.dispatch_waiting(host);
+    }
+
+    /// The watch that delivered the list ended.
+    pub fn on_watch_ended(&mut self, host: &mut impl Host, now: Time, end: WatchEnd) {
+        self.now = now;
+        let delay = self.fleet.list_lease.record_watch_end(now, end, &mut self.rng);
+        host.set_timer(delay, Timer::RequestList.token());
+    }
+
+    /// The address of discovery has changed: it is called anew.
+    pub fn on_discovery_moved(&mut self, host: &mut impl Host, now: Time) {
+        self.now = now;
+        self.fleet.list_lease.record_move(now);
+        self.call_discovery(host);
+    }
+
+    /// May forwards be sent by the list held?
+    pub fn is_list_usable(&self, now: Time) -> bool {
+        self.fleet.list_lease.is_valid(now)
+    }
+
+    fn call_discovery(&mut self, host: &mut impl Host) {
+        self.fleet.list_lease.record_call(self.now);
+        host.watch(true);
     }
 
     /// The platform reported the state of the newest build; `age` is how long the stage has lasted. `reply`
@@ -790,6 +854,12 @@
     /// Forwards a hit if there is room and it can be answered in time; else holds it, or gives it up.
     fn dispatch(&mut self, host: &mut impl Host, slot: usize, reason: ForwardReason) {
         let now = self.now;
+        if self.fleet.list_lease.is_renewal_due(now) {
+            self.call_discovery(host);
+        }
+        if !self.fleet.list_lease.is_valid(now) {
+            return self.hold_until_list_is_usable(host, slot, reason);
+        }
         let budget_cost = match reason {
             ForwardReason::First => 0.0,
             ForwardReason::Retry => 1.0,
@@ -859,6 +929,18 @@
         self.set_state(host, slot, HitState::Forwarded);
     }
 
+    /// Holds a hit while the lease on the list has expired, for as long as a hit without room is held.
+    fn hold_until_list_is_usable(&mut self, host: &mut impl Host, slot: usize, reason: ForwardReason) {
+        let hit = &self.hits[slot];
+        let max_hold = self.handling.groups[hit.group].target_latency * MAX_HOLD_TARGET_SHARE;
+        let is_hold_over = self.now - hit.received_at >= max_hold;
+        match reason {
+            ForwardReason::Hedge => {}
+            _ if is_hold_over => self.give_up(host, slot, GiveUpReason::ListUnconfirmed),
+            _ => self.waiting.push(hit.id),
+        }
+    }
+
     /// The only place where a hit changes state: it reports final states to the host and cancels forwards
     /// that are still in flight.
     fn set_state(&mut self, host: &mut impl Host, slot: usize, to: HitState) {
@@ -1041,7 +1123,8 @@
         self.now = now;
         match Timer::from(token) {
             Timer::Evaluate => self.evaluate(host),
-            Timer::RequestList => host.watch(true),
+            Timer::RequestList if self.fleet.list_lease.is_retry_due(now) => self.call_discovery(host),
+            Timer::RequestList => {}
             Timer::Deadline(id) => {
                 if let Some(slot) = self.hits.slot_of(id) {
                     self.give_up(host, slot, GiveUpReason::TimeUp);
--- a/src/settings.rs
+++ b/src/settings.rs
@@ -136,6 +136,8 @@
     pub on_request: bool,
     /// Interval within which the list must be requested.
     pub max_request_interval: Span,
+    /// Time after a drain or removal counts as told until forwards to the node must have ended.
+    pub drain_grace: Span,
     /// Nodes of the earlier build stay until the new one is released.
     pub parallel_layout: bool,
 }
--- a/src/state.rs
+++ b/src/state.rs
@@ -4,6 +4,7 @@
 use crate::answered_keys::AnsweredKeys;
 use crate::host::{BuildStatus, ForwardOutcome, NodeAttributes, Readiness, Verdict};
 use crate::index::{IdIndex, hash_pair};
+use crate::list_lease::ListLease;
 use crate::load_shedding::LoadShedder;
 use crate::outcomes::OutcomeLog;
 use crate::settings::{
@@ -496,8 +497,8 @@
     pub list_settings: NodeListSettings,
     pub warm_up: WarmUp,
     pub nodes: Nodes,
-    /// Mean wait before the next request for the list, after a failed one.
-    pub list_retry_delay: Span,
+    /// Whether the list may still be used, and when discovery is called.
+    pub list_lease: ListLease,
     /// Share of answers that are lost: later forwards to the same node are answered first.
     pub lost_answer_share: f64,
     /// Usual latency ratio of a node, by its kind.
--- a/tests/many_marshals.rs
+++ b/tests/many_marshals.rs
@@ -61,7 +61,6 @@
     }
     fn vote(&mut self, _: u16, _: u8, _: Verdict) {}
     fn watch(&mut self, _: bool) {}
-    fn fetch(&mut self) {}
     fn set_timer(&mut self, delay: Span, token: u64) {
         self.0.push(HostCall::SetTimer(delay, token));
     }
--- a/tests/support/mod.rs
+++ b/tests/support/mod.rs
@@ -47,7 +47,6 @@
     fn watch(&mut self, _on: bool) {
         self.calls.push(HostCall::Watch);
     }
-    fn fetch(&mut self) {}
     fn set_timer(&mut self, delay: Span, token: u64) {
         self.timers.push((self.now + delay, token));
     }
@@ -120,6 +119,7 @@
             cross_zone_cost: 0.02,
             on_request: false,
             max_request_interval: SECOND * 10.0,
+            drain_grace: SECOND,
             parallel_layout: true,
         },
         warm_up: WarmUp { initial_share: 0.3, duration: SECOND * 4.0, overload_multiple: 2.0 },
