--- a/crates/lab/src/lib.rs
+++ b/crates/lab/src/lib.rs
@@ -13,6 +13,7 @@
 //! - [`checker`]: records every hit and forward independently of the marshal, and reports violations of the five rules.
 //! - [`release`], [`faults`]: the state machine of a release and the schedule of faults, without I/O; [`rollout`]
 //!   carries a release out.
+//! - [`list_calls`]: calls of many marshals to a discovery that was down, in virtual time.
 //! - [`cost`], [`sizes`]: measured processor time per hit, and measured memory per hit and per connection.
 //! - [`soak`], [`demo`]: soak test and demonstration; [`trend`] tests samples for growth, [`plot`] draws them.
 //!
@@ -25,6 +26,7 @@
 pub mod demo;
 pub mod discovery;
 pub mod faults;
+pub mod list_calls;
 pub mod load;
 pub mod misbehaving;
 pub mod node;
--- a/crates/lab/src/main.rs
+++ b/crates/lab/src/main.rs
@@ -4,7 +4,8 @@
 use indicatif::{ProgressBar, ProgressStyle};
 use std::path::PathBuf;
 use std::process::ExitCode;
-use stonescale_lab::{cost, demo, sizes, soak};
+use stonescale::time::Span;
+use stonescale_lab::{cost, demo, list_calls, sizes, soak};
 
 /// Exit code if a stated tolerance was missed.
 const EXIT_TOLERANCE_MISSED: u8 = 3;
@@ -57,6 +58,30 @@
         #[command(flatten)]
         marshal: MarshalArgs,
     },
+    /// Compare ways to call a discovery that was down, for many marshals in virtual time: calls, time until all have the
+    /// list, forwards by an old list, hits refused; needs no marshal
+    ListCalls {
+        /// Numbers of marshals
+        #[arg(long, value_delimiter = ',', default_value = "1,12,300,900")]
+        marshals: Vec<usize>,
+        /// Hits per second of each marshal
+        #[arg(long, default_value_t = 40.0)]
+        rate: f64,
+        /// Grace for drains in milliseconds
+        #[arg(long, default_value_t = 250)]
+        grace_ms: u64,
+        /// Seconds for which discovery is down
+        #[arg(long, default_value_t = 8.0)]
+        outage: f64,
+        /// Calls that discovery can work on in a second
+        #[arg(long, default_value_t = 5_000.0)]
+        capacity: f64,
+        /// Seconds after which discovery rejects a call that waits
+        #[arg(long, default_value_t = 2.0)]
+        max_wait: f64,
+        #[arg(long, default_value_t = 1)]
+        seed: u64,
+    },
     /// Run a marshal through cycles of faults, and report whether its memory stays flat
     Soak {
         /// Scenario, an INI file such as deploy/soak-short.ini
@@ -135,6 +160,23 @@
             println!("{}", sizes::table(&sizes::run(&marshal.program()?)?));
             Ok(true)
         }
+        Command::ListCalls { marshals, rate, grace_ms, outage, capacity, max_wait, seed } => {
+            let is_positive = |value: f64| value.is_finite() && value > 0.0;
+            if marshals.contains(&0) || ![rate, outage, capacity, max_wait].into_iter().all(is_positive) {
+                return Err("marshals, rate, outage, capacity and max-wait have to be above zero".into());
+            }
+            let scenario = list_calls::Scenario {
+                marshals: 0,
+                hits_per_second: rate,
+                grace: Span::millis(grace_ms),
+                outage: Span::from_seconds(outage),
+                calls_per_second: capacity,
+                max_wait: Span::from_seconds(max_wait),
+                seed,
+            };
+            println!("{}", list_calls::table(scenario, &marshals));
+            Ok(true)
+        }
         Command::Soak { scenario, marshal, out } => {
             let scenario = soak::Scenario::read(&scenario)?;
             let (program, bar) = (marshal.program()?, progress_bar());
--- a/src/list_lease.rs
+++ b/src/list_lease.rs
@@ -30,6 +30,13 @@
 const MOVE_ALLOWANCE: Span = Span::millis(3_800);
 /// Shortest time between the begin of two calls.
 const MIN_CALL_INTERVAL: Span = Span::millis(20);
+/// A failure that took a longer share of the lease than this leaves too little of it: the interval between calls grows by
+/// the first factor, as discovery works through more calls than it can. Other failures shrink it by the second.
+const SLOW_FAILURE_SHARE: f64 = 0.4;
+const INTERVAL_GROWTH: f64 = 1.5;
+const INTERVAL_SHRINKAGE: f64 = 0.9;
+/// Factors by which that interval varies.
+const INTERVAL_JITTER: std::ops::Range<f64> = 0.8..1.2;
 /// Remaining shares of a lease between which a forward renews it; drawn anew for each lease, so that the calls of many
 /// marshals are spread.
 const RENEWAL_SHARES: std::ops::Range<f64> = 0.1..0.4;
@@ -125,6 +132,8 @@
     terms: LeaseTerms,
     state: ListState,
     call_in_flight: bool,
+    /// Mean time between the begin of two calls.
+    call_interval: Span,
     /// No call may begin earlier.
     next_call_at: Time,
     /// When a call begins that nothing demands.
@@ -225,6 +234,9 @@
         };
         if discovery_was_down {
             self.renew(started_at, rng);
+            self.adapt_call_interval(now - started_at);
+            let interval = self.call_interval * rng.random_range(INTERVAL_JITTER);
+            self.next_call_at = self.next_call_at.max(started_at + interval);
         } else {
             self.next_call_at = self.next_call_at.max(self.retry_at);
         }
@@ -254,6 +266,17 @@
         delay
     }
 
+    /// Shares discovery's capacity with the other callers: additive to none, multiplicative both ways, by how long a
+    /// failure took.
+    fn adapt_call_interval(&mut self, failure_time: Span) {
+        let is_slow = failure_time > self.terms.duration * SLOW_FAILURE_SHARE;
+        self.call_interval = if is_slow {
+            (self.call_interval.max(self.terms.duration) * INTERVAL_GROWTH).min(self.terms.max_retry_delay)
+        } else {
+            (self.call_interval * INTERVAL_SHRINKAGE).max(MIN_CALL_INTERVAL)
+        };
+    }
+
     /// Discovery had nothing new at this time.
     fn renew(&mut self, known_at: Time, rng: &mut Pcg64Mcg) {
         if let ListState::Unconfirmed { valid_until } = self.state {
