Lists: one that is indented over several lines on a watch is read

Test an_indented_list_on_a_watch_is_applied failed before. Cause: each line of the response was parsed as one object. Change: json_objects.rs puts lines together until the brackets are closed; a list of one line is taken without a copy, as before. An empty line within a list shows that its end was lost, and ends the watch.

--- a/crates/formats/src/lib.rs
+++ b/crates/formats/src/lib.rs
@@ -4,6 +4,7 @@
 //! no input causes a panic.
 
 pub mod http;
+pub mod json_objects;
 pub mod json_rpc;
 pub mod lines;
 pub mod resp;
--- a/crates/formats/tests/parsers.rs
+++ b/crates/formats/tests/parsers.rs
@@ -2,6 +2,7 @@
 
 use rstest::rstest;
 use stonescale_formats::http::ResponseParser;
+use stonescale_formats::json_objects::{ObjectAssembler, Progress};
 use stonescale_formats::json_rpc::{self, MessageHandler};
 use stonescale_formats::lines::LineBuffer;
 use stonescale_formats::resp::{ElementKind, MessageLimits, Scanner, write_bulk_string, write_error};
@@ -185,3 +186,36 @@
     scanner.reset();
     assert_eq!(scanner.required_length(), None);
 }
+
+/// Pushes each line; the progress of each, and the objects completed.
+fn assemble(lines: &[&str], max_bytes: usize) -> Result<(Vec<Progress>, Vec<String>), &'static str> {
+    let mut assembler = ObjectAssembler::new(max_bytes);
+    let (mut all_progress, mut objects) = (Vec::new(), Vec::new());
+    for line in lines {
+        let progress = assembler.push_line(&mut line.as_bytes().to_vec())?;
+        if progress == Progress::Complete {
+            objects.push(String::from_utf8(assembler.text().to_vec()).unwrap());
+            assembler.release_complete(0);
+        }
+        all_progress.push(progress);
+    }
+    Ok((all_progress, objects))
+}
+
+#[rstest]
+fn objects_are_put_together_from_lines_until_their_brackets_are_closed() {
+    use Progress::{Complete, Empty, Partial};
+    let lines = ["", "{\"a\":[1]}", "", "{", " \"b}\": \"]\\\"{\",", "\"c\": []", "}", "x", "{}"];
+    let (progress, objects) = assemble(&lines, 100).unwrap();
+    assert_eq!(progress, [Empty, Complete, Empty, Partial, Partial, Partial, Complete, Complete, Complete]);
+    assert_eq!(objects, ["{\"a\":[1]}", "{ \"b}\": \"]\\\"{\",\"c\": []}", "x", "{}"]);
+}
+
+#[rstest]
+#[case::end_lost(&["{\"a\":", ""], "empty line within an object")]
+#[case::string_cut(&["{\"a"], "line ends within a string")]
+#[case::closed_twice(&["{}}"], "bracket closed that was not opened")]
+#[case::too_long(&["{", "\"0123456789\":1"], "object too long")]
+fn lines_that_can_not_become_an_object_are_refused(#[case] lines: &[&str], #[case] error: &str) {
+    assert_eq!(assemble(lines, 12).unwrap_err(), error);
+}
--- a/crates/lab/src/discovery.rs
+++ b/crates/lab/src/discovery.rs
@@ -87,6 +87,8 @@
     outage: Option<Outage>,
     /// Accepts connections; none while the port refuses them.
     accepting: Option<Task<()>>,
+    /// Lists come indented over several lines.
+    indented: bool,
     /// Number of connections accepted.
     calls: usize,
     /// Time that discovery works on one call.
@@ -98,6 +100,10 @@
 }
 
 impl Inner {
+    fn format(&self, list: &Value) -> String {
+        if self.indented { format!("{list:#}") } else { list.to_string() }
+    }
+
     fn silence_watches(&mut self) {
         let watches = std::mem::take(&mut self.watches);
         self.silent_watches.extend(watches);
@@ -182,7 +188,7 @@
         for entry in entries {
             inner.entries.insert(entry.id.clone(), (version, entry));
         }
-        let line = json!({"version": version, "full": false, "servers": servers}).to_string();
+        let line = inner.format(&json!({"version": version, "full": false, "servers": servers}));
         inner.watches.retain(|watch| watch.try_send(line.clone()).is_ok());
     }
 
@@ -251,6 +257,11 @@
         self.lock().silence_watches();
     }
 
+    /// Lists come indented over several lines from now on.
+    pub fn set_indented(&self, indented: bool) {
+        self.lock().indented = indented;
+    }
+
     /// Time that discovery works on each call from now on; calls wait in turn.
     pub fn set_service_time(&self, service_time: Duration) {
         self.lock().service_time = service_time;
@@ -345,7 +356,8 @@
             inner.watches_begun
         };
         if !self.lock().silent {
-            stream.write_all(&chunk(&initial_list.to_string())).await?;
+            let text = self.lock().format(&initial_list);
+            stream.write_all(&chunk(&text)).await?;
         }
         loop {
             let next = async { Some(lines.recv().await) };
--- a/crates/marshal/src/discovery.rs
+++ b/crates/marshal/src/discovery.rs
@@ -21,6 +21,7 @@
 use stonescale_budget::{Charge, Ledger, Purpose};
 use stonescale_connection::socket_errors::{ConnectFailure, classify_connect_error};
 use stonescale_formats::http::ResponseParser;
+use stonescale_formats::json_objects::{ObjectAssembler, Progress};
 use stonescale_formats::lines::LineBuffer;
 use tracing::{debug, info};
 
@@ -31,11 +32,11 @@
 /// Longest wait for the next byte.
 const READ_TIMEOUT: Duration = Duration::from_secs(30);
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(1_000);
-/// Room for a list of some twenty thousand nodes, which is sent as one line.
-const MAX_LINE_BYTES: usize = 4 << 20;
-/// A line may take up one part in this many of discovery's memory cap, as it is held beside the next line and its own
+/// Room for a list of some twenty thousand nodes, sent as one line or indented over many.
+const MAX_LIST_BYTES: usize = 4 << 20;
+/// A list may take up one part in this many of discovery's memory cap, as it is held beside the next line and its own
 /// entries.
-const LINE_BUDGET_DIVISOR: usize = 4;
+const LIST_BUDGET_DIVISOR: usize = 4;
 /// Bytes charged for the parsed entries per byte of their text: address, locality and times take less room parsed.
 const ENTRY_BYTES_PER_TEXT_BYTE: usize = 1;
 const READ_BUFFER_BYTES: usize = 16 * 1024;
@@ -253,8 +254,9 @@
         let stream = self.connect().await.map_err(CallError::Connect)?;
         self.send_request(&stream).map_err(|e| CallError::NoAnswer(Some(e)))?;
         let ledger = &self.shared.ledger;
-        let max_line_bytes = MAX_LINE_BYTES.min(ledger.cap(Purpose::Discovery) / LINE_BUDGET_DIVISOR);
-        let (mut response, mut lines) = (ResponseParser::default(), LineBuffer::new(max_line_bytes));
+        let max_list_bytes = MAX_LIST_BYTES.min(ledger.cap(Purpose::Discovery) / LIST_BUDGET_DIVISOR);
+        let (mut response, mut lines) = (ResponseParser::default(), LineBuffer::new(max_list_bytes));
+        let mut list = ObjectAssembler::new(max_list_bytes);
         let mut charge = ledger.empty_charge(Purpose::Discovery);
         let (mut scratch, mut body, mut line) = (vec![0; READ_BUFFER_BYTES], Vec::new(), Vec::new());
         loop {
@@ -267,15 +269,24 @@
             if finished {
                 lines.feed(b"\n");
             }
-            resize_charge(&mut charge, &lines, &line)?;
+            let held_bytes = |lines: &LineBuffer, line: &Vec<u8>, list: &ObjectAssembler| {
+                lines.allocated_bytes() + line.capacity() + list.allocated_bytes()
+            };
+            resize_charge(&mut charge, held_bytes(&lines, &line, &list))?;
             while lines.next_line(&mut line).map_err(|e| CallError::Invalid(e.into()))? {
-                resize_charge(&mut charge, &lines, &line)?;
-                self.apply_line(&line)?;
+                let progress = list.push_line(&mut line).map_err(|e| CallError::Invalid(e.into()))?;
+                resize_charge(&mut charge, held_bytes(&lines, &line, &list))?;
+                match progress {
+                    Progress::Empty => self.apply_empty_line(),
+                    Progress::Partial => {}
+                    Progress::Complete => self.apply_list(list.text())?,
+                }
             }
             if line.capacity() > scratch.len() {
                 line = Vec::new();
             }
-            resize_charge(&mut charge, &lines, &line)?;
+            list.release_complete(scratch.len());
+            resize_charge(&mut charge, held_bytes(&lines, &line, &list))?;
             if finished {
                 return Err(CallError::Ended(None));
             }
@@ -373,20 +384,20 @@
         }
     }
 
-    /// Parses one line of a response and passes its list to the inbox; empty lines only show that nothing has changed.
-    fn apply_line(&self, line: &[u8]) -> Result<(), CallError> {
-        let shared = &self.shared;
-        if line.trim_ascii().is_empty() {
-            // Without a version the first line has to be a list.
-            if shared.version.get().is_some() {
-                self.confirm_list();
-            }
-            return Ok(());
+    /// An empty line shows that nothing has changed. Without a version, a list has to come first.
+    fn apply_empty_line(&self) {
+        if self.shared.version.get().is_some() {
+            self.confirm_list();
         }
-        let charge = shared.ledger.charge(Purpose::Discovery, line.len() * ENTRY_BYTES_PER_TEXT_BYTE);
+    }
+
+    /// Parses a list and passes it to the inbox.
+    fn apply_list(&self, text: &[u8]) -> Result<(), CallError> {
+        let shared = &self.shared;
+        let charge = shared.ledger.charge(Purpose::Discovery, text.len() * ENTRY_BYTES_PER_TEXT_BYTE);
         let charge = charge.map_err(|_| CallError::NoRoom)?;
         let list: List =
-            serde_json::from_slice(line).map_err(|e| CallError::Invalid(format!("invalid line: {e}")))?;
+            serde_json::from_slice(text).map_err(|e| CallError::Invalid(format!("invalid list: {e}")))?;
         let (version, full, entries) = shared.locality_names.parse_list(list).map_err(CallError::Invalid)?;
         if !full && shared.version.get().is_some_and(|current| version < current) {
             // The changes don't apply to the list held, so that the next request is for the full list.
@@ -425,6 +436,6 @@
 
 /// Charges the memory of what is received. A list for which there is no room is requested again as a whole, as part of a
 /// list is of no use.
-fn resize_charge(charge: &mut Charge, lines: &LineBuffer, line: &Vec<u8>) -> Result<(), CallError> {
-    charge.resize(lines.allocated_bytes() + line.capacity()).map_err(|_| CallError::NoRoom)
+fn resize_charge(charge: &mut Charge, bytes: usize) -> Result<(), CallError> {
+    charge.resize(bytes).map_err(|_| CallError::NoRoom)
 }
--- a/crates/marshal/tests/sockets.rs
+++ b/crates/marshal/tests/sockets.rs
@@ -509,6 +509,21 @@
     assert_eq!(path.contains("&since=2"), !older, "{path}");
 }
 
+/// A list that came indented over several lines was refused as an invalid line, each time anew.
+#[rstest]
+fn an_indented_list_on_a_watch_is_applied() {
+    let (old, new) = (healthy_node(), healthy_node());
+    let marshal = Marshal::start(&[&old]);
+    marshal.discovery.set_indented(true);
+    marshal.discovery.send_raw(None);
+    wait_until(TEST_TIMEOUT, || marshal.discovery.watch_count() == 1);
+    marshal.discovery.publish([entry(0, &old, "draining"), entry(1, &new, "up")]);
+    let calls = marshal.discovery.call_count();
+    let mut client = marshal.client();
+    assert!(wait_until(TEST_TIMEOUT, || client.submit() == SERVED_REPLY && !new.received.is_empty()));
+    assert_eq!(marshal.discovery.call_count(), calls, "the watch stays open");
+}
+
 #[rstest]
 fn the_marshal_subscribes_again_after_a_disconnect() {
     let marshal = Marshal::start(&[]);
