--- a/crates/marshal/src/clients.rs
+++ b/crates/marshal/src/clients.rs
@@ -23,6 +23,8 @@
 const ACCEPT_RETRY_INTERVAL: Duration = Duration::from_millis(10);
 /// Connections accepted before other tasks get their turn.
 const MAX_ACCEPTS_PER_TURN: usize = 128;
+/// Time after which they get it in any case: connections that have sent hits wait meanwhile.
+const MAX_ACCEPT_TURN: Duration = Duration::from_millis(2);
 /// Interval of checks whether memory must be reclaimed; shorter than the time after which a client counts as
 /// stalled.
 const RECLAIM_INTERVAL: Duration = Duration::from_millis(250);
@@ -59,6 +61,22 @@
     pub scratch: RefCell<Vec<u8>>,
 }
 
+/// The connections accepted since other tasks had their turn.
+struct AcceptTurn {
+    began: Instant,
+    accepted: usize,
+}
+
+impl AcceptTurn {
+    fn begin() -> Self {
+        AcceptTurn { began: Instant::now(), accepted: 0 }
+    }
+
+    fn is_over(&self) -> bool {
+        self.accepted == MAX_ACCEPTS_PER_TURN || self.began.elapsed() >= MAX_ACCEPT_TURN
+    }
+}
+
 impl ClientServer {
     /// Creates a server without connections. `idle_eviction_threshold` is the number of connections that have sent a
     /// command above which idle ones are closed.
@@ -98,7 +116,7 @@
         self: Rc<Self>, listener: Rc<Async<TcpListener>>, executor: Rc<LocalExecutor<'static>>,
     ) {
         let (mut accept_failing, mut last_rotation) = (false, Instant::now());
-        let mut accepted_in_turn = 0;
+        let mut turn = AcceptTurn::begin();
         // Since when connections may have waited to be accepted.
         let mut waiting_since: Option<Instant> = None;
         loop {
@@ -115,8 +133,13 @@
                     self.registry.rotate(MIN_TENURE, MAX_EVICTIONS);
                 }
                 Timer::after(ACCEPT_RETRY_INTERVAL).await;
+                turn = AcceptTurn::begin();
                 continue;
             }
+            if turn.is_over() {
+                yield_now().await;
+                turn = AcceptTurn::begin();
+            }
             let accepted = listener.get_ref().accept();
             let accepted = accepted.and_then(|(stream, _)| stream.set_nonblocking(true).map(|()| stream));
             let stream = match accepted.and_then(Async::new) {
@@ -140,10 +163,12 @@
                             Timer::after(ACCEPT_RETRY_INTERVAL).await;
                         }
                     }
+                    turn = AcceptTurn::begin();
                     continue;
                 }
             };
             accept_failing = false;
+            turn.accepted += 1;
             let Some(client) = self.registry.register(stream) else { continue };
             self.count.set(self.count.get() + 1);
             self.metrics.connection_accepted();
@@ -157,11 +182,6 @@
                 self.close_idle(excess);
             }
             executor.spawn(self.clone().serve(client)).detach();
-            accepted_in_turn += 1;
-            if accepted_in_turn == MAX_ACCEPTS_PER_TURN {
-                accepted_in_turn = 0;
-                yield_now().await;
-            }
         }
     }
 
