Lists: where they are asked for, rejections after some seconds keep the list usable

Cause, by the marshals' logs: discovery reset its watches at 12.2 s, and while it was down let each call wait for 2.0 s and answered 503 (385 lines). The lease took a rejection after over 250 ms for that of a crowd, renewed nothing, and ended 6.85 s after the end of the watch, a second or more before discovery was back. A longer outage would have been refused whole. Change: where lists are asked for, a rejection within 3 s shows that discovery was down when the call began; the next call begins 0.25 to 0.75 s later, so that three calls fall into the 6 s after which a change counts. Pushed lists: as before.

--- a/src/list_lease.rs
+++ b/src/list_lease.rs
@@ -52,6 +52,8 @@
 const MAX_FIRST_CALL_DELAY: Span = Span::millis(500);
 /// A rejection that took longer may come from a discovery that is up and has too many callers.
 const MAX_REJECTION_TIME: Span = Span::millis(250);
+/// The same where lists are requested: the lease leaves time for another call after it.
+const MAX_REJECTION_TIME_ON_REQUEST: Span = Span::millis(3_000);
 /// Mean delay of a call that nothing demands while discovery is down: a time in which it is up is not to be missed, since
 /// what it learns then counts also if it goes down again.
 const OUTAGE_CALL_DELAY: Span = Span::millis(500);
@@ -100,6 +102,8 @@
     duration: Span,
     /// From the last sign of life of a watch that fell silent.
     after_silence: Span,
+    /// Longest time after which a rejection still shows that discovery is down.
+    max_rejection_time: Span,
     /// Largest mean delay of a retry that nothing demands.
     max_retry_delay: Span,
 }
@@ -117,7 +121,9 @@
             .min(MAX_RETRY_DELAY)
             .max(INITIAL_RETRY_DELAY);
         let (duration, after_silence) = (notice_delay + after_told, silence_delay + after_told);
-        LeaseTerms { after_told, duration, after_silence, max_retry_delay }
+        let max_rejection_time =
+            if settings.on_request { MAX_REJECTION_TIME_ON_REQUEST } else { MAX_REJECTION_TIME };
+        LeaseTerms { after_told, duration, after_silence, max_rejection_time, max_retry_delay }
     }
 
     /// How long one attempt to connect to discovery may take before another one is made beside it.
@@ -268,7 +274,7 @@
         }
         let discovery_was_down = match failure {
             ListCallFailure::Unreachable => true,
-            ListCallFailure::Rejected => now - started_at <= MAX_REJECTION_TIME,
+            ListCallFailure::Rejected => now - started_at <= self.terms.max_rejection_time,
             ListCallFailure::Inconclusive => false,
         };
         if !discovery_was_down {
--- a/tests/list_lease.rs
+++ b/tests/list_lease.rs
@@ -235,6 +235,24 @@
     assert!(lease.is_renewal_due(now + Span::millis(1_000)));
 }
 
+/// Where lists are requested, discovery lets calls wait for 2 s before it rejects them, also while it is down.
+#[rstest]
+fn on_request_slow_rejections_keep_the_list_usable_with_a_call_in_each_three_seconds() {
+    let (mut lease, mut rng) = lease(1_000, true);
+    lease.record_list();
+    lease.record_watch_end(START, WatchEnd::Closed, &mut rng);
+    let mut now = START + Span::millis(500);
+    while now < START + Span::millis(60_000) {
+        assert!(lease.is_valid(now) && lease.is_retry_due(now));
+        lease.record_call(now);
+        let began = now;
+        now = now + Span::millis(2_000);
+        let delay = lease.record_call_failure(now, began, ListCallFailure::Rejected, &mut rng);
+        assert!(delay <= Span::millis(1_000));
+        now = now + delay;
+    }
+}
+
 /// This host has no descriptor left for a call: that says nothing of discovery.
 #[rstest]
 fn a_call_that_this_host_could_not_make_renews_nothing() {
