Nodes: their age is counted in real time also after the wall clock was stepped

Cause: the listed start, Unix time, was compared with the marshal's clock, Unix time at its start plus the monotonic time since. Change: start_times.rs (no I/O) converts a listed start once, when it is first seen, by the lower of the ages that both clocks give. A node is taken for colder than it is for the length of one warm-up at most, and a repeated entry keeps its time, so that no step looks like a restart.

--- a/crates/lab/src/world.rs
+++ b/crates/lab/src/world.rs
@@ -171,8 +171,15 @@
 
     /// Starts `count` cold nodes of a build and lists them in discovery; returns their names.
     pub fn add_nodes(&mut self, count: usize, build: u16, behavior: &NodeBehavior) -> Vec<String> {
+        self.add_nodes_by_stepped_clock(count, build, behavior, 0)
+    }
+
+    /// Like [`World::add_nodes`]; their start is listed by a wall clock that was stepped by this many seconds.
+    pub fn add_nodes_by_stepped_clock(
+        &mut self, count: usize, build: u16, behavior: &NodeBehavior, step_s: i64,
+    ) -> Vec<String> {
         let since_epoch = self.runtime.clock.now() - stonescale::state::EPOCH;
-        let started_ms = since_epoch.as_nanos() / 1_000_000;
+        let started_ms = (since_epoch.as_nanos() / 1_000_000).saturating_add_signed(step_s * 1_000);
         let first_number = self.started_nodes;
         self.started_nodes += count;
         let commands_per_second = behavior.cores as f64 / behavior.work_median.as_secs_f64().max(1e-6);
--- a/crates/marshal/src/clock.rs
+++ b/crates/marshal/src/clock.rs
@@ -23,6 +23,11 @@
         self.unix + Span::nanos(nanos(self.start.elapsed()))
     }
 
+    /// The wall clock's present time, in nanoseconds since the Unix epoch. It may be stepped.
+    pub fn wall_now(&self) -> Time {
+        Time::at(nanos(SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default()))
+    }
+
     /// Converts a time to an `Instant`; one before the start of the clock becomes the start.
     pub fn instant(&self, at: Time) -> Instant {
         self.start + duration(at - self.unix)
--- a/crates/marshal/src/core.rs
+++ b/crates/marshal/src/core.rs
@@ -16,6 +16,7 @@
 use std::rc::Rc;
 use stonescale::host::{BuildStatus, ForwardOutcome, GiveUpReason, Host, ListUpdate, Verdict};
 use stonescale::policy::Marshal;
+use stonescale::start_times::StartTimes;
 use stonescale::state::Timer;
 use stonescale::time::{Span, Time};
 use stonescale_budget::buffer::Block;
@@ -82,6 +83,7 @@
     reclaimed_for_list: bool,
     /// Numbers of dropped nodes, free for reuse.
     free_numbers: Vec<usize>,
+    start_times: StartTimes,
     inbox: Rc<Inbox>,
     nodes: NodePool,
     /// When the waiting forwards are looked at next by a timer.
@@ -109,6 +111,7 @@
             node_numbers,
             reclaimed_for_list: false,
             free_numbers,
+            start_times: StartTimes::default(),
             inbox,
             nodes,
             waiting_forwards_served_at: None,
@@ -134,6 +137,7 @@
         let charge = charge.ok()?;
         let next = self.node_numbers.len() + self.free_numbers.len();
         let number = self.free_numbers.pop().unwrap_or(next);
+        self.start_times.forget(number);
         self.node_numbers.insert(id, (number, charge));
         Some(number)
     }
@@ -441,17 +445,18 @@
     /// Passes a node list to the node connections and to the decision module.
     pub fn apply_node_list(&mut self, update: ListUpdate, entries: Vec<NodeEntry>) {
         debug!("list: {update:?}, {} entries", entries.len());
-        let now = self.host.now;
+        let (now, wall_now) = (self.host.now, self.host.clock.wall_now());
         let (mut listed, mut left_out) = (HashSet::new(), 0);
         self.host.reclaimed_for_list = false;
         self.marshal.on_list_begin(now, update);
-        for (id, addr, attributes, readiness, build, started_at) in entries {
+        for (id, addr, attributes, readiness, build, listed_start) in entries {
             let Some(number) = self.host.node_number(id) else {
                 // A node left out only gets no forwards.
                 left_out += 1;
                 continue;
             };
             listed.insert(number);
+            let started_at = self.host.start_times.host_time(number, listed_start, now, wall_now);
             self.host.nodes.update_node(number, addr, readiness, started_at);
             self.marshal.on_list_entry(number as u64, attributes, readiness, build, started_at);
         }
--- a/crates/marshal/src/inbox.rs
+++ b/crates/marshal/src/inbox.rs
@@ -15,7 +15,7 @@
 use stonescale_budget::Charge;
 use stonescale_budget::buffer::Block;
 
-/// Entry of the node list: id, address, attributes, readiness, build and listed start time.
+/// Entry of the node list: id, address, attributes, readiness, build and listed start time, by the wall clock.
 pub type NodeEntry = (String, SocketAddr, NodeAttributes, Readiness, u16, Time);
 
 /// Build, stage, status, cap, and how long the build has had this status.
--- a/crates/marshal/tests/faulty_calls.rs
+++ b/crates/marshal/tests/faulty_calls.rs
@@ -1,5 +1,5 @@
-//! Socket calls that fail as Linux documents: interrupted, cut short, or failing for one connection. A preloaded library
-//! (shim/faulty_calls.c) makes them fail by a seed; the usual clients must be served as without it.
+//! System calls that fail as Linux documents: interrupted, cut short, or failing for one connection; a wall clock that is
+//! stepped. A preloaded library (shim/faulty_calls.c) makes them do so; the usual clients must be served as without it.
 
 use rstest::rstest;
 use std::path::{Path, PathBuf};
@@ -10,8 +10,13 @@
 use stonescale_lab::load::LoadPlan;
 use stonescale_lab::node::NodeBehavior;
 use stonescale_lab::site::Limits;
+use stonescale_lab::world::FIRST_BUILD;
 
 const RUN: Duration = Duration::from_secs(3);
+/// After this the wall clock has been stepped.
+const STEP_PASSED: Duration = Duration::from_millis(800);
+/// The warm-up of the laboratory's site, and some more.
+const WARM_UP: Duration = Duration::from_millis(1_300);
 /// Of the hits, delivered within the target latency.
 const MIN_IN_TIME: f64 = 0.99;
 
@@ -52,3 +57,36 @@
     }
     assert_eq!(world.checker.violation_report(), "");
 }
+
+/// A node that started after the wall clock was stepped forward counted as cold for as long as the step, and one that started
+/// after a step back as warm from the start.
+#[rstest]
+#[case::all_clocks_forward(3_600, 3_600)]
+#[case::all_clocks_back(-3_600, -3_600)]
+#[case::all_clocks_by_seconds(5, 5)]
+#[case::only_the_marshal_forward(3_600, 0)]
+#[case::only_the_marshal_back(-3_600, 0)]
+fn nodes_that_start_after_a_step_of_the_wall_clock_warm_up_in_real_time(
+    #[case] marshal_step_s: i64, #[case] node_step_s: i64,
+) {
+    let step = marshal_step_s.to_string();
+    let env =
+        [("LD_PRELOAD", SHIM.to_str().unwrap()), ("CLOCK_STEP_S", &step), ("CLOCK_STEP_AFTER_MS", "300")];
+    let binary = Path::new(env!("CARGO_BIN_EXE_stonescale"));
+    let behavior = NodeBehavior::default();
+    let mut world = World::start_with_env(binary, 2, Limits::default(), &behavior, &[], &env).unwrap();
+    let old: Vec<_> = world.nodes.iter().map(|node| node.name.clone()).collect();
+    let load = world.start_load(LoadPlan::mixed(100.0, 6));
+    std::thread::sleep(STEP_PASSED);
+    world.add_nodes_by_stepped_clock(3, FIRST_BUILD, &behavior, node_step_s);
+    std::thread::sleep(WARM_UP);
+    world.set_node_state(&old, "draining");
+    std::thread::sleep(WARM_UP);
+    load.take_stats();
+    std::thread::sleep(RUN);
+    for stats in load.finish() {
+        let in_time = stats.in_time_share();
+        assert!(in_time >= MIN_IN_TIME, "{in_time} of {}, {} unanswered", stats.hits, stats.unanswered);
+    }
+    assert_eq!(world.checker.violation_report(), "");
+}
--- a/crates/marshal/tests/shim/faulty_calls.c
+++ b/crates/marshal/tests/shim/faulty_calls.c
@@ -1,6 +1,7 @@
 /* A preloaded library that makes socket calls fail as Linux documents, one in FAULT_ONE_IN by a generator with the seed
  * FAULT_SEED. FAULT_KIND: `interrupt` (EINTR), `short` (reads and writes of one byte), `abort` (accept fails with
- * ECONNABORTED), `exhaust` (accept fails with ENFILE). */
+ * ECONNABORTED), `exhaust` (accept fails with ENFILE). CLOCK_STEP_S steps the wall clock by so many seconds once
+ * CLOCK_STEP_AFTER_MS have passed since its first reading. */
 #define _GNU_SOURCE
 #include <dlfcn.h>
 #include <errno.h>
@@ -8,7 +9,10 @@
 #include <stdlib.h>
 #include <string.h>
 #include <sys/socket.h>
+#include <sys/syscall.h>
 #include <sys/uio.h>
+#include <time.h>
+#include <unistd.h>
 
 static uint64_t state;
 
@@ -54,3 +58,19 @@
     if (draw("exhaust")) { errno = ENFILE; return -1; }
     return REAL(accept4)(fd, address, length, flags);
 }
+
+static int64_t monotonic_ms(void) {
+    struct timespec now;
+    syscall(SYS_clock_gettime, CLOCK_MONOTONIC, &now);
+    return (int64_t)now.tv_sec * 1000 + now.tv_nsec / 1000000;
+}
+
+int clock_gettime(clockid_t clock, struct timespec *time) {
+    static int64_t first_reading_ms;
+    int result = (int)syscall(SYS_clock_gettime, clock, time);
+    const char *step = getenv("CLOCK_STEP_S"), *after = getenv("CLOCK_STEP_AFTER_MS");
+    if (result != 0 || clock != CLOCK_REALTIME || !step || !after) return result;
+    if (first_reading_ms == 0) first_reading_ms = monotonic_ms();
+    if (monotonic_ms() - first_reading_ms >= atoll(after)) time->tv_sec += atoll(step);
+    return result;
+}
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -9,5 +9,6 @@
 pub mod outcomes;
 pub mod policy;
 pub mod settings;
+pub mod start_times;
 pub mod state;
 pub mod time;
