--- a/crates/lab/src/lib.rs
+++ b/crates/lab/src/lib.rs
@@ -15,6 +15,7 @@
 //!   carries a release out.
 //! - [`list_calls`]: calls of many marshals to a discovery that was down, in virtual time.
 //! - [`cost`], [`sizes`]: measured processor time per hit, and measured memory per hit and per connection.
+//! - [`soak_clients`]: clients of the seeded soaks.
 //! - [`soak`], [`demo`]: soak test and demonstration; [`trend`] tests samples for growth, [`plot`] draws them.
 //!
 //! Handles are plain values: tests are written as ordinary sequential code, while the stand-ins run on their own
@@ -40,6 +41,7 @@
 pub mod site;
 pub mod sizes;
 pub mod soak;
+pub mod soak_clients;
 pub mod trend;
 pub mod wire;
 pub mod world;
--- a/crates/marshal/tests/fault_soak.rs
+++ b/crates/marshal/tests/fault_soak.rs
@@ -7,21 +7,18 @@
 use rand::seq::IndexedRandom;
 use rand::{RngExt, SeedableRng};
 use rand_pcg::Pcg64Mcg;
-use std::io::Write;
-use std::net::TcpStream;
 use std::ops::RangeInclusive;
 use std::path::Path;
 use std::sync::atomic::{AtomicBool, Ordering};
-use std::thread::JoinHandle;
 use std::time::{Duration, Instant};
 use stonescale_lab::World;
 use stonescale_lab::background::BackgroundThreads;
-use stonescale_lab::checker::SharedChecker;
-use stonescale_lab::load::{HitKind, LoadPlan};
+use stonescale_lab::load::LoadPlan;
 use stonescale_lab::node::{FaultMode, NodeBehavior};
-use stonescale_lab::raw_client::{RawClient, SentUntilClosed, TestHit, send_until_closed};
-use stonescale_lab::runtime::{Clock, wait_until};
-use stonescale_lab::site::{Limits, MUTATING, PathGroup};
+use stonescale_lab::raw_client::{RawClient, TestHit, send_until_closed};
+use stonescale_lab::runtime::wait_until;
+use stonescale_lab::site::{Limits, MUTATING};
+use stonescale_lab::soak_clients::{ClientSite, unanswered_of_lasting};
 use stonescale_lab::wire::encode_command;
 
 /// Seeds that run without a choice of others.
@@ -39,24 +36,8 @@
     first.parse().unwrap()..=last.parse().unwrap()
 }
 
-/// What a client needs to send hits and to record them.
-#[derive(Clone)]
-struct Site {
-    addr: std::net::SocketAddr,
-    checker: SharedChecker,
-    clock: Clock,
-    groups: Vec<PathGroup>,
-}
-
-impl Site {
-    fn hit(&self, number: u64, group: usize) -> TestHit<'_> {
-        let kind = HitKind { group, share: 1.0, body_bytes: 4, client_timeout: Duration::from_millis(900) };
-        TestHit { id: format!("{number:016x}"), group: &self.groups[group], kind }
-    }
-}
-
 /// Sends many hits on one connection and leaves soon, by a close, a half-close or a reset.
-fn leave_early(site: &Site, rng: &mut Pcg64Mcg, next_id: &mut u64) {
+fn leave_early(site: &ClientSite, rng: &mut Pcg64Mcg, next_id: &mut u64) {
     let Ok(mut client) = RawClient::connect(site.addr) else { return };
     let group = rng.random_range(0..site.groups.len());
     let count = *[1, 5, 40, 300].choose(rng).unwrap();
@@ -85,7 +66,7 @@
 }
 
 /// Sends a hit that must not run twice, and a copy of it on another connection: at most one may be served.
-fn copy_id(site: &Site, next_id: &mut u64) {
+fn copy_id(site: &ClientSite, next_id: &mut u64) {
     let (Ok(mut first), Ok(mut second)) = (RawClient::connect(site.addr), RawClient::connect(site.addr))
     else {
         return;
@@ -102,29 +83,8 @@
     assert!(served.count() <= 1, "hit {} and its copy were both served", hit.id);
 }
 
-/// Clients that hold half a command each, and connect again when they are closed.
-fn half_writers(site: &Site, stopping: &AtomicBool) {
-    let command =
-        encode_command(&[b"SVC.SUBMIT", b"1", b"9b1f", b"c=book,t=acme,d=900", &vec![b'b'; 30_000]]);
-    let mut clients: Vec<Option<TcpStream>> = (0..CROWD).map(|_| None).collect();
-    while !stopping.load(Ordering::SeqCst) {
-        for client in &mut clients {
-            let closed = client
-                .as_ref()
-                .is_none_or(|stream| stream.set_nonblocking(true).is_err() || stream.peek(&mut [0]).is_ok());
-            if closed {
-                *client = TcpStream::connect_timeout(&site.addr, Duration::from_millis(100)).ok();
-                if let Some(stream) = client {
-                    let _ = stream.write_all(&command[..command.len() / 2]);
-                }
-            }
-        }
-        std::thread::sleep(Duration::from_millis(5));
-    }
-}
-
 /// One connection on which invalid commands are written without pause.
-fn flood(site: &Site, stopping: &AtomicBool) {
+fn flood(site: &ClientSite, stopping: &AtomicBool) {
     let Ok(client) = RawClient::connect(site.addr) else { return };
     let stop = client.stream().try_clone().unwrap();
     let commands = (0_u64..).map(|number| encode_command(&[format!("{number:x}").as_bytes()]).repeat(100));
@@ -149,7 +109,7 @@
     }
 }
 
-fn start_clients(site: &Site, rng: &mut Pcg64Mcg, seed: u64) -> BackgroundThreads {
+fn start_clients(site: &ClientSite, rng: &mut Pcg64Mcg, seed: u64) -> BackgroundThreads {
     let mut background = BackgroundThreads::default();
     let (leaving, mut leaving_rng) = (site.clone(), Pcg64Mcg::seed_from_u64(seed ^ 0x1ea7e));
     background.spawn(move |stopping| {
@@ -167,7 +127,7 @@
     });
     if rng.random_bool(0.3) {
         let crowd = site.clone();
-        background.spawn(move |stopping| half_writers(&crowd, stopping));
+        background.spawn(move |stopping| crowd.hold_half_commands(CROWD, stopping));
     }
     if rng.random_bool(0.3) {
         let flooding = site.clone();
@@ -176,31 +136,12 @@
     background
 }
 
-/// Clients that use their open connections until these end.
-fn start_lasting_clients(site: &Site) -> Vec<JoinHandle<SentUntilClosed>> {
-    let start = |connection: u64| {
-        let site = site.clone();
-        std::thread::spawn(move || {
-            let client = RawClient::connect(site.addr).unwrap();
-            let first = (1 << 42) + (connection << 32);
-            let commands = (first..).map(|number| site.hit(number, MUTATING).encode());
-            send_until_closed(client, commands, Duration::from_millis(25)).unwrap()
-        })
-    };
-    (0..6).map(start).collect()
-}
-
 fn run_seed(seed: u64) -> String {
     let mut rng = Pcg64Mcg::seed_from_u64(seed);
     let limits = Limits { memory_mb: MEMORY_MB, sockets: *[256, 512, 1024].choose(&mut rng).unwrap() };
     let binary = Path::new(env!("CARGO_BIN_EXE_stonescale"));
     let mut world = World::start(binary, 4, limits, &NodeBehavior::default(), &[]).unwrap();
-    let site = Site {
-        addr: world.program.addr,
-        checker: world.checker.clone(),
-        clock: world.runtime.clock,
-        groups: world.path_groups.clone(),
-    };
+    let site = ClientSite::of(&world);
     let load = world.start_load(LoadPlan::mixed(60.0, seed));
     let mut background = start_clients(&site, &mut rng, seed);
     for _ in 0..PHASES {
@@ -211,7 +152,7 @@
         }
         std::thread::sleep(PHASE_DURATION);
     }
-    let lasting = start_lasting_clients(&site);
+    let lasting = site.start_lasting_clients(6);
     std::thread::sleep(PHASE_DURATION / 2);
     let stats = load.take_stats();
     let lost: u64 = stats.iter().map(|group| group.unanswered).sum();
@@ -236,13 +177,7 @@
     if peak >= MEMORY_MB << 20 {
         faults += &format!("{peak} bytes at the peak\n");
     }
-    for client in lasting {
-        let SentUntilClosed { sent_in_time, answered } = client.join().unwrap();
-        if answered < sent_in_time {
-            faults +=
-                &format!("{answered} of {sent_in_time} commands of a lasting connection were answered\n");
-        }
-    }
+    faults += &unanswered_of_lasting(lasting);
     println!(
         "seed {seed}: {} sockets, {delivered} of {hits} hits delivered, peak {} KiB, ended after {took:.1?}: {}",
         limits.sockets,
