Lists: a move of discovery starts its silence anew, and watches that end at once are spaced

Found by reading: after SIGHUP the time since discovery was heard counted from before the watch was opened, minutes ago, so that a call that waited for 3 s at the new address made it count as hung, and forwards went on by the old list. And a discovery that ends each watch right after its list was called 20 to 40 times a second. Tests a_call_that_waits_after_a_move... and a_discovery_that_ends_each_watch... Change: a move sets both anew; after the begin of a watch, six tenths of a lease pass before the next call, 0.5 s at most.

--- a/src/list_lease.rs
+++ b/src/list_lease.rs
@@ -50,6 +50,8 @@
 /// Share of the lease over which the first calls after the end of a watch are spread, and the longest such time.
 const FIRST_CALL_SHARE: f64 = 0.5;
 const MAX_FIRST_CALL_DELAY: Span = Span::millis(500);
+/// Share of the lease between the begin of a watch and the call after its end.
+const MIN_WATCH_SPACING_SHARE: f64 = 0.6;
 /// A rejection that took longer may come from a discovery that is up and has too many callers.
 const MAX_REJECTION_TIME: Span = Span::millis(250);
 /// The same where lists are requested: the lease leaves time for another call after it.
@@ -158,6 +160,8 @@
     watch_fell_silent: bool,
     /// Mean time between the begin of two calls.
     call_interval: Span,
+    /// When the last call began.
+    last_call_at: Time,
     /// No call may begin earlier.
     next_call_at: Time,
     /// When a call begins that nothing demands.
@@ -219,6 +223,7 @@
     pub fn record_call(&mut self, now: Time) {
         self.call_in_flight = true;
         self.waiting_since.get_or_insert(now);
+        self.last_call_at = now;
         self.next_call_at = now + MIN_CALL_INTERVAL;
     }
 
@@ -259,7 +264,9 @@
         self.draw_renewal_margin(rng);
         let spread = (self.terms.duration * FIRST_CALL_SHARE).min(MAX_FIRST_CALL_DELAY);
         let delay = spread * rng.random_range(0.0..1.0);
-        self.next_call_at = self.next_call_at.max(now + delay);
+        // The list that came on the watch counts for as long: a discovery that ends each watch at once is not flooded.
+        let spacing = (self.terms.duration * MIN_WATCH_SPACING_SHARE).min(MAX_FIRST_CALL_DELAY);
+        self.next_call_at = (self.last_call_at + spacing).max(now + delay);
         self.retry_at = self.next_call_at;
         self.retry_at - now
     }
@@ -306,6 +313,8 @@
             self.state = ListState::Unconfirmed { valid_until };
         }
         (self.call_in_flight, self.waiting_since) = (false, None);
+        // What is known of the former one says nothing of this one.
+        (self.last_heard_at, self.watch_fell_silent) = (now, false);
         self.next_call_at = now;
     }
 
--- a/tests/list_lease.rs
+++ b/tests/list_lease.rs
@@ -316,6 +316,34 @@
     assert!(expired.is_renewal_due(START));
 }
 
+/// The former discovery was last heard long ago, as its watch was open: that says nothing of the new one, which is crowded.
+#[rstest]
+fn a_call_that_waits_after_a_move_allows_no_forwards() {
+    let (mut lease, mut rng) = lease(250, false);
+    lease.record_list();
+    let moved = START + Span::millis(600_000);
+    lease.record_move(moved);
+    lease.record_call(moved);
+    lease.record_call_overdue(moved + Span::millis(4_000), &mut rng);
+    assert!(!lease.is_valid(moved + Span::millis(5_000)));
+}
+
+/// Discovery that ends each watch right after its list is called some times a second, and the list counts throughout.
+#[rstest]
+fn a_discovery_that_ends_each_watch_at_once_is_not_flooded() {
+    let (mut lease, mut rng) = lease(250, false);
+    let (mut calls, mut now) = (0, START);
+    while now < START + Span::millis(10_000) {
+        lease.record_call(now);
+        calls += 1;
+        now = now + STEP;
+        lease.record_list();
+        now = now + lease.record_watch_end(now, WatchEnd::Closed, &mut rng);
+        assert!(lease.is_valid(now) && lease.is_retry_due(now));
+    }
+    assert!(calls <= 170, "{calls} calls in 10 s");
+}
+
 /// While connections do not come up, attempts follow one another fast enough to renew the lease in time.
 #[rstest]
 #[case(0)]
