Clients: an accepted connection that can't be registered is kept, not closed; reactor calls fail by a plan

Cause: a socket that the reactor could not register was dropped. ENOSPC of a connection to a node counts as a lack of this host, not as the node's fault. A connection in progress survives an event for nothing. To show it: the reactor's calls go through system.rs, which fails them by a seeded plan in debug builds (system_faults.rs); release builds call the system alone.

--- a/crates/connection/src/socket_errors.rs
+++ b/crates/connection/src/socket_errors.rs
@@ -60,6 +60,8 @@
             | Errno::NFILE
             | Errno::NOBUFS
             | Errno::NOMEM
+            // The limit of descriptors watched by epoll.
+            | Errno::NOSPC
             | Errno::ADDRNOTAVAIL
             | Errno::ADDRINUSE
             | Errno::AGAIN,
--- a/crates/connection/tests/socket_errors.rs
+++ b/crates/connection/tests/socket_errors.rs
@@ -37,6 +37,7 @@
         Errno::NFILE,
         Errno::NOBUFS,
         Errno::NOMEM,
+        Errno::NOSPC,
         Errno::ADDRNOTAVAIL,
         Errno::ADDRINUSE,
         Errno::AGAIN,
--- a/crates/marshal/src/clients.rs
+++ b/crates/marshal/src/clients.rs
@@ -5,7 +5,7 @@
 use crate::command::MAX_VALUE_BYTES;
 use crate::inbox::Inbox;
 use crate::metrics::Metrics;
-use crate::reactor::{Async, Timer};
+use crate::reactor::{Async, NotRegistered, Timer};
 use async_executor::LocalExecutor;
 use futures_lite::future::yield_now;
 use std::cell::{Cell, RefCell};
@@ -117,6 +117,8 @@
     ) {
         let (mut accept_failing, mut last_rotation) = (false, Instant::now());
         let mut turn = AcceptTurn::begin();
+        // Accepted, but not registered for want of resources.
+        let mut unregistered = None;
         // Since when connections may have waited to be accepted.
         let mut waiting_since: Option<Instant> = None;
         loop {
@@ -140,9 +142,19 @@
                 yield_now().await;
                 turn = AcceptTurn::begin();
             }
-            let accepted = listener.get_ref().accept();
-            let accepted = accepted.and_then(|(stream, _)| stream.set_nonblocking(true).map(|()| stream));
-            let stream = match accepted.and_then(Async::new) {
+            let accepted = match unregistered.take() {
+                Some(stream) => Ok(stream),
+                None => listener.get_ref().accept().map(|(stream, _)| stream),
+            };
+            let accepted = accepted.and_then(|stream| stream.set_nonblocking(true).map(|()| stream));
+            let registered = accepted.and_then(|stream| {
+                Async::register(stream).map_err(|NotRegistered { io, error }| {
+                    // Its client may have sent a hit by now.
+                    unregistered = Some(io);
+                    error
+                })
+            });
+            let stream = match registered {
                 Ok(stream) => stream,
                 Err(e) => {
                     match classify_accept_error(&e) {
--- a/crates/marshal/src/main.rs
+++ b/crates/marshal/src/main.rs
@@ -23,6 +23,9 @@
 mod reactor;
 mod serve;
 mod startup;
+mod system;
+#[cfg(debug_assertions)]
+mod system_faults;
 mod turn;
 
 use clap::{Args, Parser, Subcommand};
--- a/crates/marshal/src/reactor.rs
+++ b/crates/marshal/src/reactor.rs
@@ -2,10 +2,11 @@
 //! socket for each message and sets a kernel timer for each wait: 14 system calls a hit instead of 5, while one core
 //! has to carry thousands of hits a second (docs/design.md).
 
+use crate::system;
 use async_executor::LocalExecutor;
 use rustix::event::Timespec;
 use rustix::event::epoll::{self, CreateFlags, Event, EventData, EventFlags};
-use rustix::net::{AddressFamily, SocketFlags, SocketType};
+use rustix::net::AddressFamily;
 use std::cell::RefCell;
 use std::collections::BTreeMap;
 use std::future::{Future, poll_fn};
@@ -69,6 +70,16 @@
     last_timer: u64,
 }
 
+impl Reactor {
+    /// Treats all sockets as ready.
+    fn mark_all_ready(&mut self, woken: &mut Vec<Waker>) {
+        for direction in self.sockets.iter_mut().flat_map(|socket| &mut socket.directions[..INPUT_END]) {
+            direction.ready = true;
+            woken.extend(direction.waker.take());
+        }
+    }
+}
+
 thread_local! {
     static REACTOR: RefCell<Reactor> = RefCell::default();
 }
@@ -84,9 +95,28 @@
     index: usize,
 }
 
+/// A socket that the reactor could not register, and why.
+pub struct NotRegistered<T> {
+    pub io: T,
+    pub error: io::Error,
+}
+
 impl<T: AsFd> Async<T> {
     /// Registers a socket that is already non-blocking.
     pub fn new(io: T) -> io::Result<Self> {
+        Self::register(io).map_err(|failed| failed.error)
+    }
+
+    /// Like [`Async::new`]; a failure gives the socket back, so that it can be tried again.
+    pub fn register(io: T) -> Result<Self, NotRegistered<T>> {
+        match Self::add_to_reactor(&io) {
+            Ok(index) => Ok(Async { io, index }),
+            Err(error) => Err(NotRegistered { io, error }),
+        }
+    }
+
+    /// Returns the socket's index in the reactor.
+    fn add_to_reactor(io: &T) -> io::Result<usize> {
         with_reactor(|reactor| {
             if reactor.epoll.is_none() {
                 reactor.epoll = Some(epoll::create(CreateFlags::CLOEXEC)?);
@@ -95,12 +125,12 @@
             let index = reactor.free.last().copied().unwrap_or(reactor.sockets.len());
             // Edge-triggered: the kernel reports each change once, and no call re-arms the socket.
             let flags = EventFlags::IN | EventFlags::OUT | EventFlags::RDHUP | EventFlags::ET;
-            epoll::add(epoll, &io, EventData::new_u64(index as u64), flags)?;
+            system::epoll_add(epoll, io, EventData::new_u64(index as u64), flags)?;
             if reactor.free.pop().is_none() {
                 reactor.sockets.push(SocketState::default());
             }
             reactor.sockets[index] = SocketState::default();
-            Ok(Async { io, index })
+            Ok(index)
         })
     }
 
@@ -137,6 +167,11 @@
         self.wait_ready(INPUT_END).await;
     }
 
+    /// Whether the connection is closed in both directions, or has failed.
+    fn is_hung_up(&self) -> bool {
+        with_reactor(|reactor| reactor.sockets[self.index].hung_up)
+    }
+
     /// To be called once there is nothing left to read or accept: `readable` then waits for the next event.
     pub fn clear_readable(&self) {
         with_reactor(|reactor| reactor.sockets[self.index].directions[READ].ready = false);
@@ -162,8 +197,8 @@
 /// Turns off Nagle's algorithm, so that small messages are sent at once, and selects the congestion control "reno":
 /// one that paces its output sets a kernel timer for each message. If either option is refused, only speed is lost.
 pub fn tune_for_latency(socket: impl AsFd) {
-    let _ = rustix::net::sockopt::set_tcp_nodelay(&socket, true);
-    let _ = rustix::net::sockopt::set_tcp_congestion(&socket, "reno");
+    let _ = system::set_nodelay(&socket);
+    let _ = system::set_congestion_control(&socket, "reno");
 }
 
 /// Listens at `addr`. If the longer queue of connections is refused, the usual one stays.
@@ -179,21 +214,28 @@
 /// Connects to `addr`. There is no time limit; dropping the future gives up the attempt.
 pub async fn connect(addr: SocketAddr) -> io::Result<Async<TcpStream>> {
     let family = if addr.is_ipv4() { AddressFamily::INET } else { AddressFamily::INET6 };
-    let flags = SocketFlags::CLOEXEC | SocketFlags::NONBLOCK;
-    let socket = rustix::net::socket_with(family, SocketType::STREAM, flags, None)?;
+    let socket = system::tcp_socket(family)?;
     tune_for_latency(&socket);
-    match rustix::net::connect(&socket, &addr) {
+    match system::connect(&socket, &addr) {
         // An interrupted connect goes on like one in progress.
         Ok(()) | Err(rustix::io::Errno::INPROGRESS | rustix::io::Errno::INTR) => {}
         Err(e) => return Err(e.into()),
     }
     let stream = Async::new(TcpStream::from(socket))?;
-    stream.writable().await;
-    match stream.get_ref().take_error()? {
-        Some(error) => Err(error),
-        // Writable without an error does not prove a connection: it may be closed again or never have come up, and
-        // then it has no peer address.
-        None => stream.get_ref().peer_addr().map(|_| stream),
+    loop {
+        stream.writable().await;
+        if let Some(error) = system::take_connect_error(stream.get_ref())? {
+            return Err(error);
+        }
+        match stream.get_ref().peer_addr() {
+            Ok(_) => return Ok(stream),
+            // Writable without an error and without a peer: it is still being established, and the event was for nothing,
+            // or it is closed again or never came up.
+            Err(e) if e.kind() == io::ErrorKind::NotConnected && !stream.is_hung_up() => {
+                stream.clear_writable();
+            }
+            Err(e) => return Err(e),
+        }
     }
 }
 
@@ -253,12 +295,13 @@
         let timespec = Timespec { tv_sec: wait.as_secs() as i64, tv_nsec: i64::from(wait.subsec_nanos()) };
         match &reactor.epoll {
             None => std::thread::sleep(wait),
-            Some(epoll) => {
-                match epoll::wait(epoll, rustix::buffer::spare_capacity(events), Some(&timespec)) {
-                    Ok(_) | Err(rustix::io::Errno::INTR) => {}
-                    Err(e) => return Err(e.into()),
-                }
-            }
+            Some(epoll) => match system::epoll_wait(epoll, events, &timespec) {
+                Ok(()) | Err(rustix::io::Errno::INTR) => {}
+                Err(e) => return Err(e.into()),
+            },
+        }
+        if system::has_spurious_events() {
+            reactor.mark_all_ready(woken);
         }
         for event in events.iter() {
             let (flags, index) = (event.flags, event.data.u64() as usize);
--- a/crates/marshal/tests/faulty_calls.rs
+++ b/crates/marshal/tests/faulty_calls.rs
@@ -9,11 +9,13 @@
 use stonescale_lab::World;
 use stonescale_lab::load::LoadPlan;
 use stonescale_lab::node::NodeBehavior;
-use stonescale_lab::site::Limits;
+use stonescale_lab::raw_client::RawClient;
+use stonescale_lab::site::{Limits, REPEATABLE};
+use stonescale_lab::soak_clients::ClientSite;
 use stonescale_lab::world::FIRST_BUILD;
 
 const RUN: Duration = Duration::from_secs(3);
-/// After this the wall clock has been stepped.
+/// After this the wall clock has been stepped, and calls fail that are to.
 const STEP_PASSED: Duration = Duration::from_millis(800);
 /// The warm-up of the laboratory's site, and some more.
 const WARM_UP: Duration = Duration::from_millis(1_300);
@@ -90,3 +92,64 @@
     }
     assert_eq!(world.checker.violation_report(), "");
 }
+
+/// Calls of the reactor itself, which no preloaded library reaches: debug builds fail them by a plan (system_faults.rs).
+#[rstest]
+#[case::no_descriptor_for_a_socket("socket=EMFILE")]
+#[case::no_descriptor_in_the_system("socket=ENFILE")]
+#[case::no_buffers_for_a_socket("socket=ENOBUFS")]
+#[case::no_memory_for_a_socket("socket=ENOMEM")]
+#[case::no_local_port("connect=EADDRNOTAVAIL")]
+#[case::no_route("connect=ENETUNREACH")]
+#[case::host_unreachable("connect=EHOSTUNREACH")]
+#[case::routing_cache_full("connect=EAGAIN")]
+#[case::connect_interrupted("connect=EINTR")]
+#[case::host_unreachable_later("connect_later=EHOSTUNREACH")]
+#[case::timed_out_later("connect_later=ETIMEDOUT")]
+#[case::refused_later("connect_later=ECONNREFUSED")]
+#[case::options_refused("set_option=ENOPROTOOPT")]
+#[case::no_memory_to_register("epoll_add=ENOMEM")]
+#[case::no_room_to_register("epoll_add=ENOSPC")]
+#[case::wait_interrupted("epoll_wait=EINTR")]
+#[case::fewer_events("fewer_events=1")]
+#[case::events_for_nothing("spurious_events=1")]
+fn usual_clients_are_served_while_calls_of_the_reactor_fail(#[case] fault: &str) {
+    // A marshal that can't register its signals and its listener ends at its start with an error.
+    let plan = format!("seed=11 from_ms=300 {fault}/3");
+    let binary = Path::new(env!("CARGO_BIN_EXE_stonescale"));
+    let env = [("STONESCALE_FAULTS", plan.as_str())];
+    let world =
+        World::start_with_env(binary, 4, Limits::default(), &NodeBehavior::default(), &[], &env).unwrap();
+    let load = world.start_load(LoadPlan::mixed(100.0, 5));
+    std::thread::sleep(RUN);
+    for stats in load.finish() {
+        let in_time = stats.in_time_share();
+        assert!(in_time >= MIN_IN_TIME, "{in_time} of {}, {} unanswered", stats.hits, stats.unanswered);
+    }
+    assert_eq!(world.checker.violation_report(), "");
+}
+
+/// A connection that was accepted but could not be registered was closed, with the hit that its client had sent.
+#[rstest]
+#[case::no_memory_to_register("epoll_add=ENOMEM")]
+#[case::no_room_to_register("epoll_add=ENOSPC")]
+#[case::options_refused("set_option=ENOPROTOOPT")]
+#[case::wait_interrupted("epoll_wait=EINTR")]
+#[case::fewer_events("fewer_events=1")]
+#[case::events_for_nothing("spurious_events=1")]
+fn a_hit_on_each_new_connection_is_answered_while_calls_of_the_reactor_fail(#[case] fault: &str) {
+    let plan = format!("seed=12 from_ms=300 {fault}/3");
+    let binary = Path::new(env!("CARGO_BIN_EXE_stonescale"));
+    let env = [("STONESCALE_FAULTS", plan.as_str())];
+    let world =
+        World::start_with_env(binary, 4, Limits::default(), &NodeBehavior::default(), &[], &env).unwrap();
+    std::thread::sleep(STEP_PASSED);
+    let site = ClientSite::of(&world);
+    for number in 0..60 {
+        let hit = site.hit(number, REPEATABLE);
+        let mut client = RawClient::connect(site.addr).unwrap();
+        client.send(&hit.encode()).unwrap();
+        let reply = client.read_reply().unwrap();
+        assert!(reply.as_ref().is_some_and(|text| text.starts_with(&hit.id)), "hit {number}: {reply:?}");
+    }
+}
