--- a/crates/marshal/src/system.rs
+++ b/crates/marshal/src/system.rs
@@ -8,31 +8,32 @@
 use std::net::{SocketAddr, TcpStream};
 use std::os::fd::{AsFd, OwnedFd};
 
+/// A call that a plan can make fail.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Call {
+    Socket,
+    Connect,
+    /// The connection that was being established fails later.
+    ConnectLater,
+    SetOption,
+    EpollAdd,
+    EpollWait,
+    /// Only one event is returned.
+    FewerEvents,
+    /// Sockets count as ready that are not.
+    SpuriousEvents,
+}
+
+/// The error with which this call is to fail, if it is.
 #[cfg(debug_assertions)]
-use crate::system_faults::{Call, draw};
+fn draw(call: Call) -> Option<Errno> {
+    crate::system_faults::draw(call)
+}
 
-/// Calls with a place in a plan of faults; without one, or in a release build, none fails.
 #[cfg(not(debug_assertions))]
-mod no_faults {
-    #[derive(Clone, Copy)]
-    pub enum Call {
-        Socket,
-        Connect,
-        ConnectLater,
-        SetOption,
-        EpollAdd,
-        EpollWait,
-        FewerEvents,
-        SpuriousEvents,
-    }
-
-    #[inline(always)]
-    pub fn draw(_: Call) -> Option<rustix::io::Errno> {
-        None
-    }
+fn draw(_: Call) -> Option<Errno> {
+    None
 }
-#[cfg(not(debug_assertions))]
-use no_faults::{Call, draw};
 
 fn fail_by_plan(call: Call) -> Result<()> {
     draw(call).map_or(Ok(()), Err)
--- a/crates/marshal/src/system_faults.rs
+++ b/crates/marshal/src/system_faults.rs
@@ -2,28 +2,13 @@
 //! `seed=N`, `from_ms=N` and `until_ms=N` (no fault before and after so long since the first call), and a fault for each call that is to fail, such as
 //! `connect=ENETUNREACH/3`: one in three, at random. `fewer_events=1/N` and `spurious_events=1/N` are no errors.
 
+use crate::system::Call;
 use rand::{RngExt, SeedableRng};
 use rand_pcg::Pcg64Mcg;
 use rustix::io::Errno;
 use std::cell::RefCell;
 use std::time::{Duration, Instant};
 
-/// A call that can be made to fail.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum Call {
-    Socket,
-    Connect,
-    /// The connection that was being established fails later.
-    ConnectLater,
-    SetOption,
-    EpollAdd,
-    EpollWait,
-    /// Only one event is returned.
-    FewerEvents,
-    /// Sockets count as ready that are not.
-    SpuriousEvents,
-}
-
 const CALLS: [(&str, Call); 8] = [
     ("socket", Call::Socket),
     ("connect", Call::Connect),
--- a/crates/marshal/tests/faulty_calls.rs
+++ b/crates/marshal/tests/faulty_calls.rs
@@ -7,7 +7,7 @@
 use std::sync::LazyLock;
 use std::time::Duration;
 use stonescale_lab::World;
-use stonescale_lab::load::LoadPlan;
+use stonescale_lab::load::{Load, LoadPlan};
 use stonescale_lab::node::NodeBehavior;
 use stonescale_lab::raw_client::RawClient;
 use stonescale_lab::site::{Limits, REPEATABLE};
@@ -35,6 +35,15 @@
     library
 });
 
+/// Stops the load; its hits were served within the target latency, and no rule was broken.
+fn assert_served_in_time(world: &World, load: &Load) {
+    for stats in load.finish() {
+        let in_time = stats.in_time_share();
+        assert!(in_time >= MIN_IN_TIME, "{in_time} of {}, {} unanswered", stats.hits, stats.unanswered);
+    }
+    assert_eq!(world.checker.violation_report(), "");
+}
+
 #[rstest]
 #[case::none("none")]
 #[case::interrupted("interrupt")]
@@ -53,11 +62,7 @@
         World::start_with_env(binary, 4, Limits::default(), &NodeBehavior::default(), &[], &env).unwrap();
     let load = world.start_load(LoadPlan::mixed(100.0, 5));
     std::thread::sleep(RUN);
-    for stats in load.finish() {
-        let in_time = stats.in_time_share();
-        assert!(in_time >= MIN_IN_TIME, "{in_time} of {}, {} unanswered", stats.hits, stats.unanswered);
-    }
-    assert_eq!(world.checker.violation_report(), "");
+    assert_served_in_time(&world, &load);
 }
 
 /// A node that started after the wall clock was stepped forward counted as cold for as long as the step, and one that started
@@ -86,11 +91,7 @@
     std::thread::sleep(WARM_UP);
     load.take_stats();
     std::thread::sleep(RUN);
-    for stats in load.finish() {
-        let in_time = stats.in_time_share();
-        assert!(in_time >= MIN_IN_TIME, "{in_time} of {}, {} unanswered", stats.hits, stats.unanswered);
-    }
-    assert_eq!(world.checker.violation_report(), "");
+    assert_served_in_time(&world, &load);
 }
 
 /// Calls of the reactor itself, which no preloaded library reaches: debug builds fail them by a plan (system_faults.rs).
@@ -122,11 +123,7 @@
         World::start_with_env(binary, 4, Limits::default(), &NodeBehavior::default(), &[], &env).unwrap();
     let load = world.start_load(LoadPlan::mixed(100.0, 5));
     std::thread::sleep(RUN);
-    for stats in load.finish() {
-        let in_time = stats.in_time_share();
-        assert!(in_time >= MIN_IN_TIME, "{in_time} of {}, {} unanswered", stats.hits, stats.unanswered);
-    }
-    assert_eq!(world.checker.violation_report(), "");
+    assert_served_in_time(&world, &load);
 }
 
 /// A connection that was accepted but could not be registered was closed, with the hit that its client had sent.
